--- /dev/null
+++ b/Balsamrack/Core/DatagramSocket.h
@@ -0,0 +1,17 @@
+#ifndef BALSAMRACK_CORE_DATAGRAMSOCKET_H
+#define BALSAMRACK_CORE_DATAGRAMSOCKET_H
+
+#include "Balsamrack/Core/Address.h"
+#include "absl/status/statusor.h"
+
+namespace balsamrack {
+
+/// Opens a non-blocking UDP socket bound to \p at, with receive and send
+/// buffers of \p bufferBytes as far as the system grants them. The caller
+/// closes it. Error (step listen, peer ip:port) when the address is taken or
+/// not ours. Thread-safe.
+absl::StatusOr<int> openDatagramSocket(const Address &at, int bufferBytes);
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_CORE_DATAGRAMSOCKET_H
--- /dev/null
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -0,0 +1,117 @@
+#ifndef BALSAMRACK_DAEMON_NEWSPART_H
+#define BALSAMRACK_DAEMON_NEWSPART_H
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Daemon/PacketTelemetry.h"
+#include "Balsamrack/Membership/Membership.h"
+#include "Balsamrack/Packets/PacketRoutes.h"
+#include "Balsamrack/Peers/DatagramPeers.h"
+#include "Balsamrack/Published/NewsExchange.h"
+#include "Balsamrack/Published/PublishedSource.h"
+
+namespace balsamrack {
+
+/// Gets what a NewsPart finds out. Called on its thread; must not block.
+class NewsListener {
+public:
+  virtual ~NewsListener() = default;
+  /// Where packets may go has changed.
+  virtual void routesChanged(std::shared_ptr<const PacketRoutes> routes) = 0;
+  /// There are \p daemons, and this one is number \p self in the order of
+  /// failure domain and id.
+  virtual void fleetChanged(size_t daemons, size_t self) = 0;
+  /// News came in after a pause.
+  virtual void refreshed() = 0;
+};
+
+/// The thread that knows who is there and what is published: membership, the
+/// exchange of news and the book of routes, with the socket for peers. Public
+/// methods are thread-safe.
+class NewsPart {
+public:
+  /// Starts the thread. \p run orders the lives of this VM. Error as of
+  /// Membership::create. Preconditions: all references outlive the part.
+  static absl::StatusOr<std::unique_ptr<NewsPart>>
+  create(const EntryVm &self, const std::vector<EntryVm> &seeds,
+         Incarnation run, uint64_t seed, std::unique_ptr<DatagramPeers> peers,
+         PublishedSource &source, const Clock &clock,
+         PacketTelemetry &telemetry, NewsListener &listener);
+  NewsPart(const NewsPart &) = delete;
+  NewsPart &operator=(const NewsPart &) = delete;
+  ~NewsPart();
+
+  /// True once something is known of everything that is published.
+  bool complete() const { return Complete.load(); }
+  /// These daemons may be there too.
+  void addSeeds(const std::vector<EntryVm> &seeds);
+  /// This process was paused.
+  void woke();
+  /// This daemon will end soon: peers shall not count on it.
+  void leave();
+  /// Says goodbye and ends the thread. Idempotent.
+  void stop();
+
+private:
+  NewsPart(const EntryVm &self, Incarnation run, uint64_t seed,
+           std::unique_ptr<DatagramPeers> peers, PublishedSource &source,
+           const Clock &clock, PacketTelemetry &telemetry,
+           NewsListener &listener);
+
+  using Task = std::function<void(TimePoint)>;
+  absl::Status startMembership();
+  void post(Task task);
+  void run();
+  void wait();
+  void runTasks(TimePoint now);
+  void received(TimePoint now, const Address &from, PeerMessage message);
+  void stepMembership(TimePoint now, const MembershipEvent &event);
+  void onMembership(TimePoint now, const MembershipAction &action);
+  void restartAs(TimePoint now, Incarnation run);
+  void onNews(TimePoint now, const std::vector<NewsAction> &actions);
+  void startRead(const PublishedRead &read);
+  void newsChanged(TimePoint now, const NewsChanged &changed);
+  void logChange(const PublishedObject &object, const VmId &from);
+  void membersChanged();
+  void newsCame();
+  void send(const EntryVm &to, const PeerMessage &message);
+  void publishRoutes(TimePoint now);
+  void publishFigures(TimePoint now);
+  EntryVm senderOf(const Address &from) const;
+
+  const EntryVm Self;
+  Incarnation Run;
+  SeededRandom Random;
+  const std::unique_ptr<DatagramPeers> Peers;
+  PublishedSource &Source;
+  const Clock &Time;
+  PacketTelemetry &Watch;
+  NewsListener &Listener;
+  const int Wake; ///< Ends the thread's wait.
+
+  // The thread's own.
+  std::vector<EntryVm> Seeds;
+  std::unique_ptr<Membership> Members;
+  NewsExchange Exchange;
+  RouteBook Book;
+  bool RoutesDue = false;  ///< The snapshot is to be made anew.
+  bool AwaitsNews = false; ///< A pause has ended, and no news came since.
+  TimePoint NextFigures;
+  size_t LivePeers = 0;
+
+  std::mutex Lock; ///< Guards Tasks.
+  std::vector<Task> Tasks;
+  std::atomic<bool> Complete{false};
+  std::atomic<bool> Stopping{false};
+  std::thread Loop;
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_DAEMON_NEWSPART_H
--- /dev/null
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -0,0 +1,167 @@
+#include "Balsamrack/Daemon/PacketLane.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace balsamrack {
+
+namespace {
+
+constexpr Duration FiguresPeriod{1'000'000};
+constexpr int64_t MicrosPerMilli = 1000;
+/// Batches before timers get their turn.
+constexpr int MostBatches = 8;
+
+} // namespace
+
+PacketLane::PacketLane(const PacketRouterSettings &settings,
+                       const PacketCodec &codec,
+                       std::unique_ptr<PacketSocket> socket, const Clock &clock,
+                       uint64_t seed, PacketTelemetry &telemetry,
+                       OnPause onPause)
+    : Codec(codec), Socket(std::move(socket)), Time(clock), Watch(telemetry),
+      Paused(std::move(onPause)), Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      Random(seed), Router(settings, Random), Loop([this] { run(); }) {}
+
+PacketLane::~PacketLane() {
+  stop();
+  close(Wake);
+}
+
+void PacketLane::stop() {
+  if (Stopping.exchange(true))
+    return;
+  uint64_t one = 1;
+  // A full counter wakes the thread as well.
+  (void)!write(Wake, &one, sizeof one);
+  Loop.join();
+}
+
+void PacketLane::setRoutes(std::shared_ptr<const PacketRoutes> routes) {
+  std::lock_guard<std::mutex> hold(Lock);
+  Router.setRoutes(Time.now(), std::move(routes));
+}
+
+void PacketLane::setFleet(size_t daemons, size_t self) {
+  std::lock_guard<std::mutex> hold(Lock);
+  Router.setFleet(daemons, self);
+}
+
+void PacketLane::setFresh() {
+  std::lock_guard<std::mutex> hold(Lock);
+  StaleUntil = {};
+  Router.setFresh();
+}
+
+void PacketLane::forward(const PacketTarget &to, const uint8_t *packet,
+                         size_t n) {
+  size_t prefix = Codec.prefixBytes();
+  if (prefix + n > PacketSocket::MaxPacketBytes)
+    return;
+  uint8_t *out = Socket->prepare(to.At, prefix + n);
+  Codec.writePrefix(out, to.Tag);
+  std::memcpy(out + prefix, packet, n);
+  Codec.writeToken(out + prefix, to.Token);
+}
+
+void PacketLane::reset(const PacketHead &head) {
+  std::array<uint8_t, PacketCodec::MaxHeadBytes> packet{};
+  size_t n = Codec.writeReset(head, packet.data());
+  // Callers take packets at their own address and at our port.
+  Endpoint caller = head.Flow.Caller;
+  caller.Port = Socket->at().Port;
+  std::memcpy(Socket->prepare(caller, n), packet.data(), n);
+}
+
+void PacketLane::wait() {
+  std::vector<pollfd> polled{{Socket->fd(), POLLIN, 0}, {Wake, POLLIN, 0}};
+  Prober.addTo(polled);
+  TimePoint now = Time.now();
+  TimePoint until = std::min(now + MostWait, Prober.nextTimeout());
+  {
+    std::lock_guard<std::mutex> hold(Lock);
+    until = std::min(until, Router.nextWakeup());
+  }
+  int64_t micros = std::max<int64_t>(0, (until - now).count());
+  auto millis =
+      static_cast<int>((micros + MicrosPerMilli - 1) / MicrosPerMilli);
+  poll(polled.data(), polled.size(), millis);
+}
+
+void PacketLane::noteTime(TimePoint now) {
+  bool paused = LastLoop != TimePoint{} && now - LastLoop > PauseLimit;
+  LastLoop = now;
+  if (paused) {
+    // Guards against a process that wakes after seconds and sends new flows by
+    // routes and servers that have changed meanwhile.
+    {
+      std::lock_guard<std::mutex> hold(Lock);
+      StaleUntil = now + StaleLimit;
+      Router.setStale();
+    }
+    Paused();
+    return;
+  }
+  std::lock_guard<std::mutex> hold(Lock);
+  if (StaleUntil != TimePoint{} && now >= StaleUntil) {
+    StaleUntil = {};
+    Router.setFresh();
+  }
+}
+
+void PacketLane::takePackets(TimePoint now) {
+  for (int batch = 0; batch < MostBatches; ++batch) {
+    size_t n = Socket->receive([&](uint8_t *packet, size_t bytes) {
+      auto head = Codec.decode(packet, bytes);
+      if (head) {
+        Router.packet(now, *head, packet, bytes, *this);
+        return;
+      }
+      PacketEvent event;
+      event.Kind = PacketEventKind::Dropped;
+      event.Why = PacketReason::Malformed;
+      Watch.tell(event);
+    });
+    Received += n;
+    if (n < PacketSocket::Batch)
+      return;
+  }
+}
+
+void PacketLane::publishFigures(TimePoint now) {
+  if (now < NextFigures)
+    return;
+  NextFigures = now + FiguresPeriod;
+  Watch.setPackets(Socket->counters(), Router);
+}
+
+void PacketLane::run() {
+  while (!Stopping) {
+    wait();
+    TimePoint now = Time.now();
+    noteTime(now);
+    std::vector<AttemptResult> ended = Prober.finished(now);
+    std::vector<ConnectionAttempt> due;
+    {
+      std::lock_guard<std::mutex> hold(Lock);
+      for (const AttemptResult &it : ended)
+        Router.attemptEnded(now, it.Server, it.Connected, *this);
+      takePackets(now);
+      Router.tick(now, *this);
+      due = Router.dueAttempts(now);
+      publishFigures(now);
+    }
+    Socket->flush();
+    for (const ConnectionAttempt &it : due)
+      Prober.start(now, it);
+  }
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -0,0 +1,144 @@
+#include "Balsamrack/Daemon/PacketTelemetry.h"
+
+#include "Balsamrack/Core/Errors.h"
+
+namespace balsamrack {
+
+namespace {
+
+constexpr MetricFamily FlowEvents{
+    "balsamrack_flow_events_total",
+    "What the router did with flows, by event and reason.",
+    MetricKind::Counter};
+constexpr MetricFamily OpeningTime{
+    "balsamrack_opening_seconds",
+    "From a flow's first packet to its caller's answer to the server.",
+    MetricKind::Summary};
+constexpr MetricFamily FlowTime{
+    "balsamrack_flow_seconds",
+    "From a flow's first packet to its caller's end of it.",
+    MetricKind::Summary};
+constexpr MetricFamily Packets{"balsamrack_packets",
+                               "Packets since the start, by direction.",
+                               MetricKind::Gauge};
+constexpr MetricFamily Flows{"balsamrack_flows", "Flows that are remembered.",
+                             MetricKind::Gauge};
+constexpr MetricFamily SilentServers{"balsamrack_silent_servers",
+                                     "Servers that leave openings unanswered.",
+                                     MetricKind::Gauge};
+constexpr MetricFamily OpeningTimeoutSeconds{
+    "balsamrack_opening_timeout_seconds",
+    "Wait for an opening's answer before another server gets it.",
+    MetricKind::Gauge};
+constexpr MetricFamily PeerBytes{"balsamrack_peer_bytes",
+                                 "Bytes between daemons since the start.",
+                                 MetricKind::Gauge};
+constexpr MetricFamily Peers{"balsamrack_peers", "Other daemons that live.",
+                             MetricKind::Gauge};
+constexpr MetricFamily PublishedAge{
+    "balsamrack_published_age_seconds",
+    "Since what is held was last proved to be the newest.", MetricKind::Gauge};
+constexpr MetricFamily Reads{"balsamrack_reads_total",
+                             "Reads of the publishing service, by outcome.",
+                             MetricKind::Counter};
+
+constexpr double MicrosPerSecond = 1e6;
+
+double seconds(Duration d) {
+  return static_cast<double>(d.count()) / MicrosPerSecond;
+}
+
+bool isOrdinary(PacketEventKind kind) {
+  return kind == PacketEventKind::Placed ||
+         kind == PacketEventKind::Confirmed ||
+         kind == PacketEventKind::Adopted || kind == PacketEventKind::Ended;
+}
+
+} // namespace
+
+PacketTelemetry::PacketTelemetry(const Clock &clock, EventLog &log)
+    : Log(log), Numbers(Metrics::create(clock)) {}
+
+bool PacketTelemetry::isLogged(const PacketEvent &event) {
+  if (!isOrdinary(event.Kind))
+    return true;
+  uint64_t hash =
+      combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
+                  combineHash(event.Flow.Service.Ip, event.Flow.Service.Port));
+  return hash % LoggedFlows == 0;
+}
+
+void PacketTelemetry::tell(const PacketEvent &event) {
+  const char *kind = packetEventName(event.Kind);
+  const char *why = packetReasonName(event.Why);
+  Numbers->count(FlowEvents, {{"event", kind}, {"reason", why}});
+  if (event.Kind == PacketEventKind::Confirmed)
+    Numbers->observe(OpeningTime, {}, event.Took);
+  if (event.Kind == PacketEventKind::Ended)
+    Numbers->observe(FlowTime, {{"service", event.Service->str()}}, event.Took);
+  if (!isLogged(event))
+    return;
+  LogLine line(Part::Entry,
+               isOrdinary(event.Kind) ? Severity::Info : Severity::Warning,
+               kind);
+  if (event.Flow.Service.Port != 0)
+    line.text("flow", event.Flow.Caller.str() + ">" + event.Flow.Service.str());
+  if (event.Why != PacketReason::None)
+    line.text("reason", why);
+  if (event.Server) {
+    line.text("server", event.Server->str());
+    line.text("service", event.Service->str());
+    line.number("in_progress", event.InProgress);
+    line.decimal("share", event.Share);
+    line.decimal("others_load", event.OthersLoad);
+  }
+  if (event.Tries > 0)
+    line.number("tries", event.Tries);
+  if (event.Took > Duration{0})
+    line.millis("took_ms", event.Took);
+  line.number("configuration", event.Version);
+  Log.write(line);
+}
+
+void PacketTelemetry::failed(Part part, const char *event,
+                             const absl::Status &status) {
+  Log.write(LogLine(part, Severity::Warning, event)
+                .text("error", std::string(status.message()))
+                .text("step", stepOf(status))
+                .text("peer", peerOf(status)));
+}
+
+void PacketTelemetry::setPackets(const PacketSocketCounters &socket,
+                                 const PacketRouter &router) {
+  auto set = [this](const char *what, uint64_t n) {
+    Numbers->set(Packets, {{"what", what}}, static_cast<double>(n));
+  };
+  set("received", socket.Received);
+  set("sent", socket.Sent);
+  set("too-long", socket.TooLong);
+  set("send-failed", socket.SendFailed);
+  Numbers->set(Flows, {}, static_cast<double>(router.flows()));
+  Numbers->set(SilentServers, {}, static_cast<double>(router.silentServers()));
+  Numbers->set(OpeningTimeoutSeconds, {}, seconds(router.openingTimeout()));
+}
+
+void PacketTelemetry::setPeers(const DatagramCounters &peers, size_t live) {
+  Numbers->set(PeerBytes, {{"direction", "sent"}},
+               static_cast<double>(peers.BytesSent));
+  Numbers->set(PeerBytes, {{"direction", "received"}},
+               static_cast<double>(peers.BytesReceived));
+  Numbers->set(Peers, {}, static_cast<double>(live));
+}
+
+void PacketTelemetry::setAge(PublishedSection section, Duration age) {
+  Numbers->set(PublishedAge, {{"section", sectionName(section)}}, seconds(age));
+}
+
+void PacketTelemetry::readEnded(PublishedSection section, bool listing,
+                                const absl::Status &status) {
+  Numbers->count(Reads, {{"section", sectionName(section)},
+                         {"kind", listing ? "list" : "watch"},
+                         {"outcome", status.ok() ? "good" : "failed"}});
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -0,0 +1,57 @@
+#ifndef BALSAMRACK_DAEMON_PACKETTELEMETRY_H
+#define BALSAMRACK_DAEMON_PACKETTELEMETRY_H
+
+#include <memory>
+#include <string>
+
+#include "Balsamrack/Observability/EventLog.h"
+#include "Balsamrack/Observability/Metrics.h"
+#include "Balsamrack/Packets/PacketEvents.h"
+#include "Balsamrack/Packets/PacketRouter.h"
+#include "Balsamrack/Packets/PacketSocket.h"
+#include "Balsamrack/Peers/DatagramPeers.h"
+
+namespace balsamrack {
+
+/// What a daemon of the packet carrier tells about itself: lines of its event
+/// log, and metrics. Thread-safe; never blocks for long.
+class PacketTelemetry {
+public:
+  /// Of ordinary events of flows, one flow in so many is logged: the same ones
+  /// on all daemons, so that a flow's whole way can be read. What goes wrong
+  /// is always logged.
+  static constexpr uint64_t LoggedFlows = 8;
+
+  /// Preconditions: \p clock and \p log outlive the result.
+  PacketTelemetry(const Clock &clock, EventLog &log);
+
+  /// Counts and logs what the router did.
+  void tell(const PacketEvent &event);
+  /// Writes a line.
+  void log(const LogLine &line) { Log.write(line); }
+  /// Writes a line about an error, with its step and peer.
+  void failed(Part part, const char *event, const absl::Status &status);
+
+  /// The packet socket's and the router's present figures.
+  void setPackets(const PacketSocketCounters &socket,
+                  const PacketRouter &router);
+  /// The peers' present figures.
+  void setPeers(const DatagramCounters &peers, size_t live);
+  /// How old what is held of \p section may be.
+  void setAge(PublishedSection section, Duration age);
+  /// A read of the publishing service ended.
+  void readEnded(PublishedSection section, bool listing,
+                 const absl::Status &status);
+  /// All metrics as Prometheus text.
+  std::string prometheus() const { return Numbers->prometheus(); }
+
+private:
+  static bool isLogged(const PacketEvent &event);
+
+  EventLog &Log;
+  std::unique_ptr<Metrics> Numbers;
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_DAEMON_PACKETTELEMETRY_H
--- /dev/null
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -0,0 +1,80 @@
+#include "Balsamrack/Decisions/OpeningChoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamrack {
+
+namespace {
+
+/// Terms of the sum over other daemons' flows. Two slots at full load hold more
+/// than eight with a chance of one in 4,000.
+constexpr int MostOthers = 8;
+/// Costs that differ by less are equal: rounding must not decide.
+constexpr double SameCost = 1e-6;
+
+struct Cost {
+  OpeningRank Rank;
+  double Wait;
+  uint32_t InProgress;
+};
+
+bool same(const Cost &a, const Cost &b) {
+  return a.Rank == b.Rank && std::abs(a.Wait - b.Wait) < SameCost &&
+         a.InProgress == b.InProgress;
+}
+
+bool less(const Cost &a, const Cost &b) {
+  if (a.Rank != b.Rank)
+    return a.Rank < b.Rank;
+  if (std::abs(a.Wait - b.Wait) >= SameCost)
+    return a.Wait < b.Wait;
+  return a.InProgress < b.InProgress;
+}
+
+Cost costOf(const OpeningCandidate &candidate, double othersLoad) {
+  double wait = expectedWait(candidate, othersLoad);
+  wait += candidate.Near ? 0 : FarCost;
+  wait += candidate.Cold ? ColdCost : 0;
+  return {candidate.Rank, wait, candidate.InProgress};
+}
+
+} // namespace
+
+double expectedWait(const OpeningCandidate &candidate, double othersLoad) {
+  double slots = std::max<uint32_t>(candidate.Slots, 1);
+  double others = std::max(0.0, slots - candidate.Share) * othersLoad;
+  // Poisson: many daemons, each with few flows there.
+  double chance = std::exp(-others);
+  double sum = 0;
+  for (int n = 0; n <= MostOthers; ++n) {
+    sum += chance * std::max(0.0, candidate.InProgress + n + 1 - slots);
+    chance *= others / (n + 1);
+  }
+  return sum / slots;
+}
+
+std::optional<size_t>
+chooseForOpening(const std::vector<OpeningCandidate> &candidates,
+                 double othersLoad, RandomSource &random) {
+  std::optional<size_t> best;
+  Cost bestCost{};
+  uint64_t alike = 0;
+  for (const OpeningCandidate &candidate : candidates) {
+    Cost cost = costOf(candidate, othersLoad);
+    if (best && same(cost, bestCost)) {
+      // Reservoir of one: each of those alike is as likely.
+      if (random.below(++alike) == 0)
+        best = candidate.Server;
+      continue;
+    }
+    if (best && !less(cost, bestCost))
+      continue;
+    best = candidate.Server;
+    bestCost = cost;
+    alike = 1;
+  }
+  return best;
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -0,0 +1,133 @@
+#include "Balsamrack/Decisions/SilenceDetector.h"
+
+#include <algorithm>
+
+namespace balsamrack {
+
+void SilenceDetector::add(size_t server, const DomainId &domain) {
+  Record record;
+  record.Domain = domain;
+  Servers.try_emplace(server, std::move(record));
+  Domains.try_emplace(domain);
+}
+
+void SilenceDetector::remove(size_t server) { Servers.erase(server); }
+
+bool SilenceDetector::unanswered(TimePoint now, size_t server,
+                                 TimePoint sentAt) {
+  auto it = Servers.find(server);
+  if (it == Servers.end() || it->second.LastAnswer >= sentAt)
+    return false;
+  Record &record = it->second;
+  ++record.Unanswered;
+  if (record.Silent || record.Unanswered < Settings.UnansweredLimit)
+    return false;
+  bool relapse = record.LastAnswer != TimePoint{} &&
+                 now - record.LastAnswer < Settings.RelapseSpan;
+  // A server that takes connections but no openings would else be tried with
+  // callers' flows again and again.
+  record.Hold = relapse && record.Hold > Duration{0}
+                    ? std::min(record.Hold * 2, Settings.LongestHold)
+                    : Settings.FirstHold;
+  record.Silent = true;
+  record.SilentSince = sentAt;
+  record.NextAttempt = now + (relapse ? record.Hold : Duration{0});
+  judgeDomain(now, record.Domain);
+  return true;
+}
+
+void SilenceDetector::judgeDomain(TimePoint now, const DomainId &domain) {
+  DomainRecord &whole = Domains[domain];
+  uint32_t silent = 0;
+  for (const auto &[server, record] : Servers)
+    if (record.Domain == domain && record.Silent &&
+        record.SilentSince > whole.LastAnswer)
+      ++silent;
+  if (whole.Silent || silent < Settings.DomainLimit)
+    return;
+  whole.Silent = true;
+  // Guards against two dead servers that take a living third one with them: it
+  // gets no openings now, so it is asked at once and speaks for its domain.
+  for (auto &[server, record] : Servers)
+    if (record.Domain == domain && !record.Silent)
+      record.NextAttempt = now;
+}
+
+bool SilenceDetector::asked(const Record &record) const {
+  return record.Silent || domainSilent(record.Domain);
+}
+
+bool SilenceDetector::answered(TimePoint now, size_t server) {
+  auto it = Servers.find(server);
+  if (it == Servers.end())
+    return false;
+  Record &record = it->second;
+  record.LastAnswer = now;
+  record.Unanswered = 0;
+  DomainRecord &whole = Domains[record.Domain];
+  whole.LastAnswer = now;
+  // The others of a domain that speaks again are trusted too: the next two
+  // openings or attempts tell.
+  if (whole.Silent) {
+    whole.Silent = false;
+    for (auto &[other, its] : Servers)
+      if (its.Domain == record.Domain && its.Silent)
+        its.NextAttempt = now;
+  }
+  bool was = record.Silent;
+  record.Silent = false;
+  return was;
+}
+
+void SilenceDetector::attemptFailed(TimePoint now, size_t server) {
+  auto it = Servers.find(server);
+  if (it == Servers.end() || !asked(it->second))
+    return;
+  Record &record = it->second;
+  if (!record.Silent) {
+    record.Silent = true;
+    record.SilentSince = now;
+    record.Hold = Settings.FirstHold;
+  }
+  record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
+  record.NextAttempt = now + record.Hold;
+}
+
+bool SilenceDetector::silent(size_t server) const {
+  auto it = Servers.find(server);
+  return it != Servers.end() &&
+         (it->second.Silent || domainSilent(it->second.Domain));
+}
+
+bool SilenceDetector::domainSilent(const DomainId &domain) const {
+  auto it = Domains.find(domain);
+  return it != Domains.end() && it->second.Silent;
+}
+
+std::vector<size_t> SilenceDetector::due(TimePoint now) {
+  std::vector<size_t> found;
+  for (auto &[server, record] : Servers) {
+    if (!asked(record) || record.NextAttempt > now)
+      continue;
+    found.push_back(server);
+    // Until the attempt ends, whichever way.
+    record.NextAttempt = now + Settings.LongestHold;
+  }
+  return found;
+}
+
+TimePoint SilenceDetector::nextDue() const {
+  TimePoint next(Duration::max());
+  for (const auto &[server, record] : Servers)
+    if (asked(record))
+      next = std::min(next, record.NextAttempt);
+  return next;
+}
+
+size_t SilenceDetector::silentServers() const {
+  return static_cast<size_t>(
+      std::count_if(Servers.begin(), Servers.end(),
+                    [](const auto &it) { return it.second.Silent; }));
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -0,0 +1,97 @@
+#ifndef BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
+#define BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "Balsamrack/Core/Ids.h"
+#include "Balsamrack/Core/Time.h"
+
+namespace balsamrack {
+
+/// Limits of the silence detector.
+struct SilenceSettings {
+  uint32_t UnansweredLimit = 2; ///< Openings in a row without an answer. One
+                                ///< packet in forty is lost on a bad link, so
+                                ///< two in a row by chance are one in 1,600.
+  uint32_t DomainLimit = 2; ///< Silent servers that make a domain silent, when
+                            ///< none of it answered since the first of them
+                            ///< fell silent.
+  Duration FirstHold{100'000};   ///< A silent server is asked again after this.
+  Duration LongestHold{800'000}; ///< The hold doubles up to this, so that a
+                                 ///< server that is back is found in a second.
+  Duration RelapseSpan{2'000'000}; ///< Silent again so soon after it was found
+                                   ///< well: its hold goes on doubling.
+};
+
+/// Which servers leave openings unanswered, by what this daemon itself sees.
+///
+/// Load that it answers: servers that die or are cut off while their entries
+/// still stand. Without it each flow placed there waits for its caller's next
+/// copy, and a cut between failure domains makes half of all openings late for
+/// as long as it lasts. Judging a whole domain after two of its servers spares
+/// the openings that would find out about each of the others.
+///
+/// A silent server is asked by a connection attempt of ours (due()), never by a
+/// caller's opening. Deterministic. Not thread-safe.
+class SilenceDetector {
+public:
+  explicit SilenceDetector(const SilenceSettings &settings)
+      : Settings(settings) {}
+
+  /// Follows \p server, which stands in \p domain.
+  void add(size_t server, const DomainId &domain);
+  /// Forgets \p server.
+  void remove(size_t server);
+
+  /// An opening that was sent to \p server at \p sentAt has no answer; true
+  /// when that makes it silent.
+  bool unanswered(TimePoint now, size_t server, TimePoint sentAt);
+  /// \p server answered an opening, or a connection attempt of ours; true when
+  /// it was silent.
+  bool answered(TimePoint now, size_t server);
+  /// A connection attempt of ours to \p server failed.
+  void attemptFailed(TimePoint now, size_t server);
+
+  /// True while \p server or its whole domain is silent.
+  bool silent(size_t server) const;
+  /// True while \p domain is silent as a whole.
+  bool domainSilent(const DomainId &domain) const;
+  /// Servers that should be asked by a connection attempt now; counts them as
+  /// asked.
+  std::vector<size_t> due(TimePoint now);
+  /// When due() has something next; the far future for never.
+  TimePoint nextDue() const;
+  /// Silent servers, by their own silence.
+  size_t silentServers() const;
+
+private:
+  /// What is known of one server.
+  struct Record {
+    DomainId Domain;         ///< Where it stands.
+    uint32_t Unanswered = 0; ///< Openings in a row.
+    TimePoint LastAnswer;    ///< Of it, to us.
+    TimePoint SilentSince;   ///< Meaningful while Silent.
+    bool Silent = false;     ///< Gets no new flows.
+    TimePoint NextAttempt;   ///< When to ask it, while Silent.
+    Duration Hold{0};        ///< Between attempts.
+  };
+  /// What is known of one domain.
+  struct DomainRecord {
+    bool Silent = false;  ///< As a whole.
+    TimePoint LastAnswer; ///< Of any of its servers.
+  };
+
+  void judgeDomain(TimePoint now, const DomainId &domain);
+  bool asked(const Record &record) const;
+
+  SilenceSettings Settings;                 ///< Limits.
+  std::map<size_t, Record> Servers;         ///< All followed.
+  std::map<DomainId, DomainRecord> Domains; ///< Of them.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
--- a/Balsamrack/Observability/Log.h
+++ b/Balsamrack/Observability/Log.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Balsamrack/Daemon/Telemetry.h"
+#include "Balsamrack/Observability/LogNames.h"
 #include "absl/status/statusor.h"
 
 namespace balsamrack {
@@ -16,12 +17,6 @@
   std::string File;            ///< Empty: standard error.
 };
 
-/// Name of a part, which every log line of it begins with. Thread-safe.
-const char *partName(Part part);
-
-/// Name of a severity in lower case. Thread-safe.
-const char *severityName(Severity severity);
-
 /// The daemon's log, on Boost.Log. Lines go out at once and whole. Thread-safe.
 class Log {
 public:
--- /dev/null
+++ b/Balsamrack/Observability/LogNames.h
@@ -0,0 +1,16 @@
+#ifndef BALSAMRACK_OBSERVABILITY_LOGNAMES_H
+#define BALSAMRACK_OBSERVABILITY_LOGNAMES_H
+
+#include "Balsamrack/Daemon/Telemetry.h"
+
+namespace balsamrack {
+
+/// Name of a part, which every log line of it begins with. Thread-safe.
+const char *partName(Part part);
+
+/// Name of a severity in lower case. Thread-safe.
+const char *severityName(Severity severity);
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_OBSERVABILITY_LOGNAMES_H
--- /dev/null
+++ b/Balsamrack/Packets/FlowMemory.cpp
@@ -0,0 +1,50 @@
+#include "Balsamrack/Packets/FlowMemory.h"
+
+#include <algorithm>
+
+namespace balsamrack {
+
+bool RememberedFlow::tried(ServerIndex server) const {
+  const auto *end = Tried.begin() + Tries;
+  return std::find(Tried.begin(), end, server) != end;
+}
+
+RememberedFlow *FlowMemory::find(const FlowKey &key) {
+  auto it = Flows.find(key);
+  return it == Flows.end() ? nullptr : &it->second;
+}
+
+RememberedFlow *FlowMemory::add(TimePoint now, const FlowKey &key) {
+  // Turns of forgotten flows still wait for their time, so they bound it too.
+  if (Flows.size() >= Most || Turns.size() >= Most)
+    return nullptr;
+  RememberedFlow &flow = Flows[key];
+  flow.OpenedAt = now;
+  flow.LastSeen = now;
+  Turns.push_back({now + TurnPeriod, key});
+  return &flow;
+}
+
+void FlowMemory::sweep(TimePoint now, Duration quiet, const KeepFor &keep,
+                       const OnQuiet &onQuiet) {
+  while (!Turns.empty() && Turns.front().At <= now) {
+    FlowKey key = Turns.front().Key;
+    Turns.pop_front();
+    auto it = Flows.find(key);
+    if (it == Flows.end())
+      continue;
+    Duration silent = now - it->second.LastSeen;
+    bool over = silent >= keep(it->second);
+    if (over || silent >= quiet)
+      onQuiet(it->second);
+    if (over) {
+      Flows.erase(it);
+      continue;
+    }
+    Duration next = silent >= quiet ? keep(it->second) : quiet;
+    Turns.push_back(
+        {std::max(it->second.LastSeen + next, now + TurnPeriod), key});
+  }
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -0,0 +1,91 @@
+#ifndef BALSAMRACK_PACKETS_FLOWMEMORY_H
+#define BALSAMRACK_PACKETS_FLOWMEMORY_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+
+#include "Balsamrack/Core/Time.h"
+#include "Balsamrack/Packets/Packet.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace balsamrack {
+
+/// Number of a server in the router's table.
+using ServerIndex = uint32_t;
+/// No server.
+constexpr ServerIndex NoServerIndex = UINT32_MAX;
+
+/// Where a flow stands, as far as its caller's packets tell.
+enum class FlowStage : uint8_t {
+  Opening, ///< The opening was sent on; the caller has not answered its server.
+  Open,    ///< The caller has answered its server.
+  Ending,  ///< The caller has ended or reset it.
+};
+
+/// What is remembered of one flow.
+struct RememberedFlow {
+  /// Servers that may get copies of one opening: with a tenth of all servers
+  /// silent and not yet known for it, four in a row are one in 10,000.
+  static constexpr size_t MaxTries = 4;
+
+  std::array<ServerIndex, MaxTries> Tried{}; ///< The first Tries are valid.
+  uint8_t Tries = 0;                         ///< Servers that got the opening.
+  uint8_t Copy = 0; ///< Highest number of a copy of the opening.
+  FlowStage Stage = FlowStage::Opening; ///< See there.
+  bool Counted = false;                 ///< Counts as in progress at Home.
+  ServerIndex Home = NoServerIndex;     ///< Where its packets go.
+  uint32_t FirstSequence = 0; ///< Of the opening: tells a new flow on the same
+                              ///< ports from a copy.
+  TimePoint OpenedAt;         ///< First copy of the opening, or adoption.
+  TimePoint LastSeen;         ///< Last packet.
+  TimePoint LastSent;         ///< Last copy of the opening sent on.
+
+  /// True when \p server got the opening.
+  bool tried(ServerIndex server) const;
+};
+
+/// A bounded memory of flows. A flow that is not in it is found by its token,
+/// so forgetting one costs nothing but its count. Not thread-safe.
+class FlowMemory {
+public:
+  explicit FlowMemory(size_t most) : Most(most) {}
+
+  /// The flow, or null.
+  RememberedFlow *find(const FlowKey &key);
+  /// Takes a flow in; null when the memory is full. Precondition: not in it.
+  RememberedFlow *add(TimePoint now, const FlowKey &key);
+  /// Forgets a flow.
+  void erase(const FlowKey &key) { Flows.erase(key); }
+  /// Number of flows.
+  size_t size() const { return Flows.size(); }
+
+  /// Says how long a flow may stay without a packet.
+  using KeepFor = std::function<Duration(const RememberedFlow &)>;
+  /// Told of each flow before it is forgotten, or whose quiet time is over.
+  using OnQuiet = std::function<void(RememberedFlow &)>;
+  /// Looks at the flows whose turn it is: calls \p onQuiet for each that had no
+  /// packet for \p quiet, and forgets those that were silent for \p keep.
+  void sweep(TimePoint now, Duration quiet, const KeepFor &keep,
+             const OnQuiet &onQuiet);
+
+private:
+  /// When to look at a flow.
+  struct Turn {
+    TimePoint At;
+    FlowKey Key;
+  };
+  /// Shortest time between two looks at a flow.
+  static constexpr Duration TurnPeriod{500'000};
+
+  const size_t Most; ///< Bound.
+  absl::flat_hash_map<FlowKey, RememberedFlow> Flows;
+  std::deque<Turn> Turns; ///< One for each flow, nearly in order of time: a
+                          ///< look may come late, never early.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PACKETS_FLOWMEMORY_H
--- /dev/null
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -0,0 +1,20 @@
+#include "Balsamrack/Packets/PacketEvents.h"
+
+namespace balsamrack {
+
+const char *packetEventName(PacketEventKind kind) {
+  static const char *const names[PacketEventKinds] = {
+      "placed",    "placed-again", "confirmed", "adopted",       "ended",
+      "abandoned", "refused",      "dropped",   "server-silent", "server-back"};
+  return names[static_cast<size_t>(kind)];
+}
+
+const char *packetReasonName(PacketReason reason) {
+  static const char *const names[PacketReasons] = {
+      "none",          "no-route",      "no-server", "no-answer",
+      "unknown-token", "foreign-token", "no-token",  "not-ready",
+      "stale",         "malformed",     "copy"};
+  return names[static_cast<size_t>(reason)];
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -0,0 +1,462 @@
+#include "Balsamrack/Packets/PacketRouter.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstring>
+#include <utility>
+
+#include "Balsamrack/Decisions/SlotShares.h"
+
+namespace balsamrack {
+
+namespace {
+
+constexpr TimePoint Never = TimePoint(Duration::max());
+/// Callers send the opening and two copies of it.
+constexpr uint8_t LastCopy = 2;
+
+} // namespace
+
+PacketRouter::PacketRouter(const PacketRouterSettings &settings,
+                           RandomSource &random)
+    : Settings(settings), Random(random), Flows(settings.MaxFlows),
+      Silence(settings.Silence) {}
+
+void PacketRouter::setRoutes(TimePoint /*now*/,
+                             std::shared_ptr<const PacketRoutes> routes) {
+  assert(routes);
+  Routes = std::move(routes);
+  ServerTable::Change change = Servers.update(*Routes);
+  for (ServerIndex index : change.Removed)
+    Silence.remove(index);
+  for (ServerIndex index : change.Added)
+    Silence.add(index, Servers.at(index).Is.What->Server.Domain);
+  reshare();
+}
+
+void PacketRouter::setFleet(size_t daemons, size_t self) {
+  assert(self < daemons);
+  if (Daemons == daemons && Self == self)
+    return;
+  Daemons = daemons;
+  Self = self;
+  reshare();
+}
+
+void PacketRouter::reshare() {
+  for (auto &[id, service] : Servers.servicesForShares()) {
+    std::vector<ServerIndex> usable;
+    std::vector<uint32_t> slots;
+    for (ServerIndex index : service.TakeNew)
+      if (!Silence.silent(index)) {
+        usable.push_back(index);
+        slots.push_back(Servers.at(index).Is.What->Server.Slots);
+      }
+    Servers.setShares(service, usable, slotShares(slots, Daemons, Self));
+  }
+}
+
+void PacketRouter::packet(TimePoint now, const PacketHead &head,
+                          const uint8_t *bytes, size_t n, PacketSink &out) {
+  if (!Routes) {
+    out.tell(eventOf(PacketEventKind::Dropped, PacketReason::NotReady,
+                     head.Flow, NoServerIndex));
+    return;
+  }
+  if (head.Opens)
+    opening(now, head, bytes, n, out);
+  else
+    ongoing(now, head, bytes, n, out);
+}
+
+const ServiceId *PacketRouter::serviceFor(const FlowKey &key) const {
+  auto it = Routes->Routes.find(key.Service);
+  if (it == Routes->Routes.end())
+    return nullptr;
+  uint64_t total = 0;
+  for (const RouteTarget &target : it->second.Targets)
+    total += target.Weight;
+  if (total == 0)
+    return nullptr;
+  // By the flow, so that every daemon picks the same service for its copies.
+  uint64_t point = combineHash(combineHash(key.Caller.Ip, key.Caller.Port),
+                               combineHash(key.Service.Ip, key.Service.Port)) %
+                   total;
+  for (const RouteTarget &target : it->second.Targets) {
+    if (point < target.Weight)
+      return &target.Service;
+    point -= target.Weight;
+  }
+  return nullptr;
+}
+
+void PacketRouter::opening(TimePoint now, const PacketHead &head,
+                           const uint8_t *bytes, size_t n, PacketSink &out) {
+  RememberedFlow *flow = Flows.find(head.Flow);
+  if (flow && flow->FirstSequence == head.Sequence) {
+    openingCopy(now, *flow, head, bytes, n, out);
+    return;
+  }
+  if (flow) {
+    release(*flow);
+    Flows.erase(head.Flow);
+  }
+  if (Stale) {
+    out.tell(eventOf(PacketEventKind::Dropped, PacketReason::Stale, head.Flow,
+                     NoServerIndex));
+    return;
+  }
+  const ServiceId *service = serviceFor(head.Flow);
+  if (!service) {
+    refuse(head, PacketReason::NoRoute, out);
+    return;
+  }
+  RememberedFlow spare;
+  std::optional<ServerIndex> to = choose(now, *service, spare);
+  if (!to) {
+    refuse(head, PacketReason::NoServer, out);
+    return;
+  }
+  flow = Flows.add(now, head.Flow);
+  if (!flow)
+    flow = &spare;
+  flow->OpenedAt = now;
+  flow->FirstSequence = head.Sequence;
+  sendOpening(now, *flow, *to, head, bytes, n, out);
+  // A flow that has no room in the memory is not counted, or its count would
+  // stay for ever.
+  if (flow == &spare)
+    release(spare);
+}
+
+void PacketRouter::openingCopy(TimePoint now, RememberedFlow &flow,
+                               const PacketHead &head, const uint8_t *bytes,
+                               size_t n, PacketSink &out) {
+  flow.LastSeen = now;
+  flow.Copy = static_cast<uint8_t>(std::min<uint32_t>(
+      std::max<uint32_t>(flow.Copy, head.Acknowledged), UINT8_MAX));
+  if (flow.Stage != FlowStage::Opening) {
+    forward(flow.Home, bytes, n, out);
+    return;
+  }
+  bool overdue = now - flow.LastSent >= Timeout.value();
+  if (overdue && flow.Tries == RememberedFlow::MaxTries) {
+    // All have had their time; the round begins anew without the last one.
+    flow.Tried[0] = flow.Home;
+    flow.Tries = 1;
+  }
+  if (overdue && sendElsewhere(now, flow, head, bytes, n, out))
+    return;
+  sendOpening(now, flow, flow.Home, head, bytes, n, out);
+}
+
+bool PacketRouter::sendElsewhere(TimePoint now, RememberedFlow &flow,
+                                 const PacketHead &head, const uint8_t *bytes,
+                                 size_t n, PacketSink &out) {
+  if (flow.Tries >= RememberedFlow::MaxTries)
+    return false;
+  const ServiceId *service = serviceFor(head.Flow);
+  if (!service)
+    return false;
+  std::optional<ServerIndex> to = choose(now, *service, flow);
+  if (!to)
+    return false;
+  sendOpening(now, flow, *to, head, bytes, n, out);
+  return true;
+}
+
+void PacketRouter::sendOpening(TimePoint now, RememberedFlow &flow,
+                               ServerIndex to, const PacketHead &head,
+                               const uint8_t *bytes, size_t n,
+                               PacketSink &out) {
+  bool again = flow.Tries > 0;
+  bool copy = flow.tried(to);
+  count(flow, to);
+  if (!copy)
+    flow.Tried[flow.Tries++] = to;
+  flow.LastSent = now;
+  forward(to, bytes, n, out);
+  PacketEvent event =
+      eventOf(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
+              copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
+  event.Tries = flow.Tries;
+  out.tell(event);
+  WaitingOpening waiting;
+  waiting.Due = now + Timeout.value();
+  waiting.SentAt = now;
+  waiting.Head = head;
+  if (n <= MaxOpeningBytes) {
+    waiting.Bytes = n;
+    std::memcpy(waiting.Packet.data(), bytes, n);
+  }
+  Waiting.push_back(waiting);
+}
+
+std::optional<ServerIndex> PacketRouter::choose(TimePoint now,
+                                                const ServiceId &service,
+                                                const RememberedFlow &flow) {
+  TabledService *of = Servers.service(service);
+  if (!of)
+    return std::nullopt;
+  of->smooth(now);
+  Candidates.clear();
+  for (ServerIndex index : of->TakeNew) {
+    if (flow.tried(index))
+      continue;
+    const TabledServer &server = Servers.at(index);
+    const BackendServer &what = server.Is.What->Server;
+    OpeningCandidate candidate;
+    candidate.Server = index;
+    if (Silence.silent(index))
+      candidate.Rank = OpeningRank::Silent;
+    else if (server.Is.Presence == ServerPresence::Lapsed &&
+             !server.Is.WithMany)
+      candidate.Rank = OpeningRank::Lapsed;
+    candidate.InProgress = server.InProgress;
+    candidate.Slots = what.Slots;
+    candidate.Share = server.Share;
+    candidate.Near = what.Domain == Settings.Domain;
+    candidate.Cold = now < server.Is.ColdUntil;
+    Candidates.push_back(candidate);
+  }
+  auto best = chooseForOpening(Candidates, of->Load, Random);
+  if (!best)
+    return std::nullopt;
+  return static_cast<ServerIndex>(*best);
+}
+
+PacketReason PacketRouter::resolve(const PacketHead &head,
+                                   ServerIndex &found) const {
+  if (head.Token == 0)
+    return PacketReason::NoToken;
+  auto route = Routes->Routes.find(head.Flow.Service);
+  if (route == Routes->Routes.end())
+    return PacketReason::NoRoute;
+  const std::vector<ServerIndex> *named = Servers.byToken(head.Token);
+  if (!named)
+    return PacketReason::UnknownToken;
+  const std::vector<ServiceId> &allowed = route->second.EverAllowed;
+  for (ServerIndex index : *named) {
+    const ServiceId &service = Servers.at(index).Is.What->Server.Service;
+    if (std::find(allowed.begin(), allowed.end(), service) == allowed.end())
+      continue;
+    found = index;
+    return PacketReason::None;
+  }
+  return PacketReason::ForeignToken;
+}
+
+RememberedFlow *PacketRouter::adopt(TimePoint now, const PacketHead &head,
+                                    RememberedFlow &spare, PacketSink &out) {
+  ServerIndex home = NoServerIndex;
+  PacketReason why = resolve(head, home);
+  if (why != PacketReason::None) {
+    // Silence, not a reset: the flow may be open at a living server that is
+    // not known here yet, and its packets will be sent again.
+    out.tell(eventOf(PacketEventKind::Dropped, why, head.Flow, NoServerIndex));
+    return nullptr;
+  }
+  RememberedFlow *flow = Flows.add(now, head.Flow);
+  if (!flow)
+    flow = &spare;
+  flow->Stage = FlowStage::Open;
+  flow->Home = home;
+  flow->OpenedAt = now;
+  if (!head.Ends && !head.Resets && flow != &spare)
+    count(*flow, home);
+  out.tell(
+      eventOf(PacketEventKind::Adopted, PacketReason::None, head.Flow, home));
+  return flow;
+}
+
+void PacketRouter::ongoing(TimePoint now, const PacketHead &head,
+                           const uint8_t *bytes, size_t n, PacketSink &out) {
+  RememberedFlow spare;
+  RememberedFlow *flow = Flows.find(head.Flow);
+  if (!flow)
+    flow = adopt(now, head, spare, out);
+  if (!flow)
+    return;
+  flow->LastSeen = now;
+  if (flow->Stage == FlowStage::Opening && !head.Resets)
+    confirm(now, *flow, head, out);
+  bool ends = head.Ends || head.Resets;
+  if (ends && flow->Stage != FlowStage::Ending) {
+    release(*flow);
+    flow->Stage = FlowStage::Ending;
+    PacketEvent event = eventOf(head.Resets ? PacketEventKind::Abandoned
+                                            : PacketEventKind::Ended,
+                                PacketReason::None, head.Flow, flow->Home);
+    event.Took = now - flow->OpenedAt;
+    out.tell(event);
+  } else if (head.DataBytes > 0 && flow->Stage == FlowStage::Open &&
+             flow != &spare) {
+    count(*flow, flow->Home);
+  }
+  forward(flow->Home, bytes, n, out);
+}
+
+void PacketRouter::confirm(TimePoint now, RememberedFlow &flow,
+                           const PacketHead &head, PacketSink &out) {
+  // The flow opens at the server that the caller answers, and its token is on
+  // this very packet. A second server's answer may change the token later, so
+  // the home is remembered from here on.
+  ServerIndex home = NoServerIndex;
+  if (resolve(head, home) == PacketReason::None)
+    count(flow, home);
+  flow.Stage = FlowStage::Open;
+  if (flow.Tries == 1 && flow.Copy == 0)
+    Timeout.measured(now - flow.LastSent);
+  PacketEvent event = eventOf(PacketEventKind::Confirmed, PacketReason::None,
+                              head.Flow, flow.Home);
+  event.Took = now - flow.OpenedAt;
+  event.Tries = flow.Tries;
+  out.tell(event);
+  answeredBy(now, flow.Home, out);
+}
+
+void PacketRouter::answeredBy(TimePoint now, ServerIndex server,
+                              PacketSink &out) {
+  bool domainWas = Silence.silent(server);
+  bool was = Silence.answered(now, server);
+  if (was)
+    out.tell(
+        eventOf(PacketEventKind::ServerBack, PacketReason::None, {}, server));
+  if (was || domainWas)
+    reshare();
+}
+
+void PacketRouter::attemptEnded(TimePoint now, ServerIndex server,
+                                bool connected, PacketSink &out) {
+  if (server >= Servers.all().size() || !Servers.at(server).Used)
+    return;
+  if (connected)
+    answeredBy(now, server, out);
+  else
+    Silence.attemptFailed(now, server);
+}
+
+std::vector<ConnectionAttempt> PacketRouter::dueAttempts(TimePoint now) {
+  std::vector<ConnectionAttempt> attempts;
+  for (size_t server : Silence.due(now)) {
+    auto index = static_cast<ServerIndex>(server);
+    const RoutedBackend &is = Servers.at(index).Is;
+    if (is.Presence != ServerPresence::Gone)
+      attempts.push_back({index, is.At});
+  }
+  return attempts;
+}
+
+void PacketRouter::tick(TimePoint now, PacketSink &out) {
+  // Most are answered long before they are due; dropping those here spares a
+  // wake-up for each.
+  while (!Waiting.empty() &&
+         (Waiting.front().Due <= now || !stillWaits(Waiting.front()))) {
+    WaitingOpening waiting = Waiting.front();
+    Waiting.pop_front();
+    if (stillWaits(waiting))
+      openingDue(now, waiting, out);
+  }
+  Duration openKeep = Settings.OpenKeep;
+  if (Routes && Routes->IdleTimeout > Duration{0})
+    openKeep = std::min(openKeep, Routes->IdleTimeout);
+  Flows.sweep(
+      now, Settings.ProgressQuiet,
+      [&](const RememberedFlow &flow) {
+        switch (flow.Stage) {
+        case FlowStage::Opening:
+          return Settings.OpeningKeep;
+        case FlowStage::Ending:
+          return Settings.EndingKeep;
+        case FlowStage::Open:
+          break;
+        }
+        return openKeep;
+      },
+      [this](RememberedFlow &flow) { release(flow); });
+}
+
+bool PacketRouter::stillWaits(const WaitingOpening &waiting) {
+  const RememberedFlow *flow = Flows.find(waiting.Head.Flow);
+  // Else it was answered, ended, or sent again since: a later one waits for it.
+  return flow && flow->Stage == FlowStage::Opening &&
+         flow->LastSent == waiting.SentAt;
+}
+
+void PacketRouter::openingDue(TimePoint now, const WaitingOpening &waiting,
+                              PacketSink &out) {
+  RememberedFlow *flow = Flows.find(waiting.Head.Flow);
+  ServerIndex server = flow->Home;
+  if (Silence.unanswered(now, server, waiting.SentAt)) {
+    out.tell(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer,
+                     waiting.Head.Flow, server));
+    reshare();
+  }
+  bool sent = waiting.Bytes > 0 &&
+              sendElsewhere(now, *flow, waiting.Head, waiting.Packet.data(),
+                            waiting.Bytes, out);
+  if (sent || flow->Copy < LastCopy)
+    return;
+  // The caller sends no more copies, and whoever could answer had its time: a
+  // reset lets it try anew at once.
+  refuse(waiting.Head, PacketReason::NoAnswer, out);
+  release(*flow);
+  flow->Stage = FlowStage::Ending;
+}
+
+TimePoint PacketRouter::nextWakeup() const {
+  TimePoint next = Waiting.empty() ? Never : Waiting.front().Due;
+  return std::min(next, Silence.nextDue());
+}
+
+void PacketRouter::forward(ServerIndex to, const uint8_t *bytes, size_t n,
+                           PacketSink &out) const {
+  const RoutedBackend &is = Servers.at(to).Is;
+  out.forward({is.At, is.What->Tag, is.Token}, bytes, n);
+}
+
+void PacketRouter::refuse(const PacketHead &head, PacketReason why,
+                          PacketSink &out) {
+  out.reset(head);
+  out.tell(eventOf(PacketEventKind::Refused, why, head.Flow, NoServerIndex));
+}
+
+void PacketRouter::count(RememberedFlow &flow, ServerIndex at) {
+  if (flow.Counted && flow.Home == at)
+    return;
+  release(flow);
+  flow.Home = at;
+  flow.Counted = true;
+  Servers.add(at);
+}
+
+void PacketRouter::release(RememberedFlow &flow) {
+  if (!flow.Counted)
+    return;
+  flow.Counted = false;
+  Servers.remove(flow.Home);
+}
+
+PacketEvent PacketRouter::eventOf(PacketEventKind kind, PacketReason why,
+                                  const FlowKey &key,
+                                  ServerIndex server) const {
+  PacketEvent event;
+  event.Kind = kind;
+  event.Why = why;
+  event.Flow = key;
+  event.Version = Routes ? Routes->Version : 0;
+  if (server == NoServerIndex)
+    return event;
+  const TabledServer &at = Servers.at(server);
+  const BackendServer &what = at.Is.What->Server;
+  event.Server = &what.Id;
+  event.Service = &what.Service;
+  event.InProgress = at.InProgress;
+  event.Share = at.Share;
+  auto service = Servers.services().find(what.Service);
+  if (service != Servers.services().end())
+    event.OthersLoad = service->second.Load;
+  return event;
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -0,0 +1,157 @@
+#ifndef BALSAMRACK_PACKETS_PACKETROUTER_H
+#define BALSAMRACK_PACKETS_PACKETROUTER_H
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Decisions/OpeningChoice.h"
+#include "Balsamrack/Decisions/SilenceDetector.h"
+#include "Balsamrack/Packets/FlowMemory.h"
+#include "Balsamrack/Packets/OpeningTimeout.h"
+#include "Balsamrack/Packets/PacketRoutes.h"
+#include "Balsamrack/Packets/PacketSink.h"
+#include "Balsamrack/Packets/ServerTable.h"
+
+namespace balsamrack {
+
+/// Limits of the packet router.
+struct PacketRouterSettings {
+  DomainId Domain;                 ///< This daemon's failure domain.
+  size_t MaxFlows = 100'000;       ///< Flows remembered, some 100 bytes each.
+  Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
+                                   ///< forgotten; callers give up after 1.4 s.
+  Duration EndingKeep{3'000'000};  ///< Packets may follow the end of a flow:
+                                   ///< retransmissions wait 1.6 s at most.
+  Duration OpenKeep{20'000'000}; ///< A silent open flow is forgotten; its token
+                                 ///< still names its server.
+  Duration ProgressQuiet{2'000'000}; ///< A flow without packets for so long is
+                                     ///< not counted as in progress any more.
+  SilenceSettings Silence;           ///< Of the silence detector.
+};
+
+/// A server that should be asked by a connection attempt.
+struct ConnectionAttempt {
+  ServerIndex Server = NoServerIndex; ///< For attemptEnded().
+  Endpoint At;                        ///< Where to connect to.
+};
+
+/// Where a packet goes. Takes heads of packets, gives actions to a PacketSink;
+/// clock and random numbers are handed in, so that the same input gives the
+/// same actions. Not thread-safe.
+///
+/// A flow's home is remembered in three places: in this daemon's memory, in the
+/// token that comes back on each packet, and, for new flows, nowhere: any
+/// server will do. An opening whose server stays silent is sent to another one
+/// after a few tens of milliseconds, on behalf of the caller and byte for byte;
+/// the flow opens at the server that the caller answers, so nothing can run
+/// twice.
+class PacketRouter {
+public:
+  /// Precondition: \p random outlives the router.
+  PacketRouter(const PacketRouterSettings &settings, RandomSource &random);
+
+  /// From now on \p routes are in force. Never null.
+  void setRoutes(TimePoint now, std::shared_ptr<const PacketRoutes> routes);
+  /// There are \p daemons in the fleet, and this one is number \p self in the
+  /// order of failure domain and id. Precondition: self < daemons.
+  void setFleet(size_t daemons, size_t self);
+  /// What is held may be old: openings are not placed before setFresh().
+  void setStale() { Stale = true; }
+  /// What is held is new again.
+  void setFresh() { Stale = false; }
+
+  /// Takes one packet of \p n bytes.
+  void packet(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+              size_t n, PacketSink &out);
+  /// Does what time alone asks for. Due by nextWakeup(), harmless otherwise.
+  void tick(TimePoint now, PacketSink &out);
+  /// When tick() is due; the far future for never. Remembered flows are looked
+  /// through by any call; one in a second will do.
+  TimePoint nextWakeup() const;
+
+  /// Servers to be asked now. Each needs an attemptEnded().
+  std::vector<ConnectionAttempt> dueAttempts(TimePoint now);
+  /// A connection to \p server came about, or not.
+  void attemptEnded(TimePoint now, ServerIndex server, bool connected,
+                    PacketSink &out);
+
+  /// Number of remembered flows.
+  size_t flows() const { return Flows.size(); }
+  /// The servers with their counts.
+  const ServerTable &servers() const { return Servers; }
+  /// Servers that are silent by themselves.
+  size_t silentServers() const { return Silence.silentServers(); }
+  /// The snapshot in force; null before the first setRoutes().
+  const std::shared_ptr<const PacketRoutes> &routes() const { return Routes; }
+  /// The current wait for the answer to an opening.
+  Duration openingTimeout() const { return Timeout.value(); }
+
+private:
+  /// Longest opening that is kept for another server, in bytes: openings carry
+  /// no data.
+  static constexpr size_t MaxOpeningBytes = 48;
+
+  /// An opening that waits for its answer.
+  struct WaitingOpening {
+    TimePoint Due;    ///< When to try another server.
+    TimePoint SentAt; ///< When the last copy was sent on.
+    PacketHead Head;  ///< Of the opening.
+    size_t Bytes = 0; ///< Length of Packet.
+    std::array<uint8_t, MaxOpeningBytes> Packet{}; ///< As it came.
+  };
+
+  void opening(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+               size_t n, PacketSink &out);
+  void openingCopy(TimePoint now, RememberedFlow &flow, const PacketHead &head,
+                   const uint8_t *bytes, size_t n, PacketSink &out);
+  void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+               size_t n, PacketSink &out);
+  RememberedFlow *adopt(TimePoint now, const PacketHead &head,
+                        RememberedFlow &spare, PacketSink &out);
+  void confirm(TimePoint now, RememberedFlow &flow, const PacketHead &head,
+               PacketSink &out);
+  bool stillWaits(const WaitingOpening &waiting);
+  void openingDue(TimePoint now, const WaitingOpening &waiting,
+                  PacketSink &out);
+  bool sendElsewhere(TimePoint now, RememberedFlow &flow,
+                     const PacketHead &head, const uint8_t *bytes, size_t n,
+                     PacketSink &out);
+  void sendOpening(TimePoint now, RememberedFlow &flow, ServerIndex to,
+                   const PacketHead &head, const uint8_t *bytes, size_t n,
+                   PacketSink &out);
+  std::optional<ServerIndex> choose(TimePoint now, const ServiceId &service,
+                                    const RememberedFlow &flow);
+  const ServiceId *serviceFor(const FlowKey &key) const;
+  PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
+  void forward(ServerIndex to, const uint8_t *bytes, size_t n,
+               PacketSink &out) const;
+  void refuse(const PacketHead &head, PacketReason why, PacketSink &out);
+  void count(RememberedFlow &flow, ServerIndex at);
+  void release(RememberedFlow &flow);
+  void answeredBy(TimePoint now, ServerIndex server, PacketSink &out);
+  void reshare();
+  PacketEvent eventOf(PacketEventKind kind, PacketReason why,
+                      const FlowKey &key, ServerIndex server) const;
+
+  const PacketRouterSettings Settings;
+  RandomSource &Random;
+  std::shared_ptr<const PacketRoutes> Routes; ///< In force; null at first.
+  ServerTable Servers;                        ///< Servers, counts and shares.
+  FlowMemory Flows;                           ///< Flows of this daemon.
+  SilenceDetector Silence;                    ///< Who does not answer.
+  OpeningTimeout Timeout;                     ///< For openings.
+  std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
+  std::vector<OpeningCandidate> Candidates;   ///< Reused between choices.
+  size_t Daemons = 1;                         ///< Of the fleet.
+  size_t Self = 0;                            ///< Place of this one.
+  bool Stale = false;                         ///< See setStale().
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PACKETS_PACKETROUTER_H
--- /dev/null
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -0,0 +1,178 @@
+#include "Balsamrack/Packets/PacketRoutes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamrack {
+
+namespace {
+
+constexpr TimePoint Never = TimePoint(Duration::max());
+/// Servers of one service that disappear within this time did so together.
+constexpr Duration TogetherSpan{1'000'000};
+/// So many at least are needed to speak of many.
+constexpr size_t LeastTogether = 2;
+
+void addOnce(std::vector<ServiceId> &list, const ServiceId &service) {
+  if (std::find(list.begin(), list.end(), service) == list.end())
+    list.push_back(service);
+}
+
+} // namespace
+
+uint32_t tokenOf(const ServerId &id) {
+  auto token = static_cast<uint32_t>(stableHash(id.str()));
+  return token == 0 ? 1 : token;
+}
+
+void RouteBook::setOperators(TimePoint now,
+                             const std::vector<PublishedObject> &objects) {
+  Out.clear();
+  for (const PublishedObject &object : objects) {
+    if (const auto *out = std::get_if<DomainOut>(&object.Content))
+      Out.push_back(out->Domain);
+    using Shared = std::shared_ptr<const OperatorConfiguration>;
+    if (const auto *what = std::get_if<Shared>(&object.Content))
+      setConfiguration(now, *what, object.At);
+  }
+}
+
+void RouteBook::setConfiguration(
+    TimePoint now, std::shared_ptr<const OperatorConfiguration> what,
+    Revision at) {
+  if (at <= ConfigurationAt)
+    return;
+  ConfigurationAt = at;
+  Configuration = std::move(what);
+  auto before = std::exchange(Allowed, {});
+  for (const PublishedRoute &route : Configuration->Routes) {
+    Endpoint end = Endpoint::of(route.At);
+    std::vector<ServiceId> &allowed = Allowed[end];
+    auto it = before.find(end);
+    if (it != before.end())
+      allowed = std::move(it->second);
+    auto dropped = DroppedRoutes.find(end);
+    if (dropped != DroppedRoutes.end()) {
+      allowed = std::move(dropped->second.EverAllowed);
+      DroppedRoutes.erase(dropped);
+    }
+    for (const RouteTarget &target : route.Targets)
+      addOnce(allowed, target.Service);
+    before.erase(end);
+  }
+  for (auto &[end, allowed] : before)
+    DroppedRoutes[end] = {std::move(allowed), now};
+}
+
+void RouteBook::serversChanged(TimePoint now,
+                               const std::vector<PublishedObject> &changed) {
+  using Shared = std::shared_ptr<const PublishedServer>;
+  for (const PublishedObject &object : changed) {
+    const auto *what = std::get_if<Shared>(&object.Content);
+    if (!what) {
+      serverGone(now, object.Name);
+      continue;
+    }
+    const BackendServer &server = (*what)->Server;
+    ServerKey key{server.Domain, server.Id};
+    auto named = ServerByName.find(object.Name);
+    if (named != ServerByName.end() && named->second != key)
+      Servers.erase(named->second);
+    ServerByName[object.Name] = key;
+    Servers[key] = {*what, true, false, {}, now + (*what)->ColdLeft};
+  }
+  markMassLapses();
+}
+
+void RouteBook::serverGone(TimePoint now, const std::string &name) {
+  auto named = ServerByName.find(name);
+  if (named == ServerByName.end())
+    return;
+  auto it = Servers.find(named->second);
+  if (it == Servers.end() || !it->second.Present)
+    return;
+  it->second.Present = false;
+  it->second.GoneAt = now;
+}
+
+void RouteBook::markMassLapses() {
+  // Guards against a publishing service that was away: all entries lapse at
+  // once though the servers live, and the first ones back would get the load
+  // of all. Servers die one by one, or are half of their service at most.
+  for (auto &[key, known] : Servers) {
+    if (known.Present || known.WithMany)
+      continue;
+    const ServiceId &service = known.What->Server.Service;
+    size_t together = 0;
+    size_t present = 0;
+    for (const auto &[otherKey, other] : Servers) {
+      if (other.What->Server.Service != service)
+        continue;
+      Duration apart = other.GoneAt - known.GoneAt;
+      bool same =
+          !other.Present && apart <= TogetherSpan && apart >= -TogetherSpan;
+      together += same ? 1 : 0;
+      present += other.Present ? 1 : 0;
+    }
+    known.WithMany = together >= LeastTogether && together >= present;
+  }
+}
+
+bool RouteBook::domainOut(const DomainId &domain) const {
+  return std::find(Out.begin(), Out.end(), domain) != Out.end();
+}
+
+ServerPresence RouteBook::presenceOf(TimePoint now, const Known &known) {
+  if (known.Present)
+    return ServerPresence::Listed;
+  if (known.What->Server.Mode != ServerMode::Active ||
+      now >= known.GoneAt + LapseKeep)
+    return ServerPresence::Gone;
+  NextChange = std::min(NextChange, known.GoneAt + LapseKeep);
+  return ServerPresence::Lapsed;
+}
+
+void RouteBook::forget(TimePoint now) {
+  for (auto it = Servers.begin(); it != Servers.end();)
+    it = !it->second.Present && now >= it->second.GoneAt + GoneKeep
+             ? Servers.erase(it)
+             : std::next(it);
+  for (auto it = ServerByName.begin(); it != ServerByName.end();)
+    it =
+        Servers.count(it->second) == 0 ? ServerByName.erase(it) : std::next(it);
+  for (auto it = DroppedRoutes.begin(); it != DroppedRoutes.end();)
+    it = now >= it->second.At + GoneKeep ? DroppedRoutes.erase(it)
+                                         : std::next(it);
+}
+
+std::shared_ptr<const PacketRoutes> RouteBook::snapshot(TimePoint now) {
+  forget(now);
+  NextChange = Never;
+  auto made = std::make_shared<PacketRoutes>();
+  made->As = ConfigurationAt;
+  if (Configuration) {
+    made->Version = Configuration->Version;
+    made->IdleTimeout = Configuration->IdleTimeout;
+    for (const PublishedService &service : Configuration->Services)
+      if (service.ColdPerSecond > 0)
+        made->ColdPerSecond[service.Id] = service.ColdPerSecond;
+    for (const PublishedRoute &route : Configuration->Routes) {
+      Endpoint end = Endpoint::of(route.At);
+      made->Routes[end] = {route.Targets, Allowed[end]};
+    }
+  }
+  for (const auto &[end, dropped] : DroppedRoutes)
+    made->Routes[end] = {{}, dropped.EverAllowed};
+  made->Servers.reserve(Servers.size());
+  for (const auto &[key, known] : Servers) {
+    const BackendServer &server = known.What->Server;
+    RoutedBackend to{known.What,         Endpoint::of(server.At),
+                     tokenOf(server.Id), presenceOf(now, known),
+                     known.WithMany,     domainOut(server.Domain),
+                     known.ColdUntil};
+    made->Servers.push_back(std::move(to));
+  }
+  return made;
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Packets/PacketSocket.cpp
@@ -0,0 +1,119 @@
+#include "Balsamrack/Packets/PacketSocket.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+#include "Balsamrack/Core/DatagramSocket.h"
+
+namespace balsamrack {
+
+namespace {
+
+/// A second of a small site's packets, should the process be held up.
+constexpr int BufferBytes = 1024 * 1024;
+
+/// The packets of one system call.
+struct Packets {
+  Packets() {
+    for (size_t i = 0; i < PacketSocket::Batch; ++i) {
+      Parts[i] = {Bytes[i].data(), Bytes[i].size()};
+      Heads[i].msg_hdr.msg_iov = &Parts[i];
+      Heads[i].msg_hdr.msg_iovlen = 1;
+    }
+  }
+  std::array<std::array<uint8_t, PacketSocket::MaxPacketBytes>,
+             PacketSocket::Batch>
+      Bytes{};
+  std::array<iovec, PacketSocket::Batch> Parts{};
+  std::array<mmsghdr, PacketSocket::Batch> Heads{};
+  std::array<sockaddr_in, PacketSocket::Batch> Ends{};
+};
+
+class BatchSocket final : public PacketSocket {
+public:
+  BatchSocket(int fd, Address at) : Fd(fd), Where(std::move(at)) {}
+  BatchSocket(const BatchSocket &) = delete;
+  BatchSocket &operator=(const BatchSocket &) = delete;
+  ~BatchSocket() override { close(Fd); }
+
+  const Address &at() const override { return Where; }
+  int fd() const override { return Fd; }
+  size_t receive(const Got &got) override;
+  uint8_t *prepare(const Endpoint &to, size_t n) override;
+  void flush() override;
+  const PacketSocketCounters &counters() const override { return Counters; }
+
+private:
+  const int Fd;
+  const Address Where;
+  Packets In;
+  Packets Out;
+  size_t Prepared = 0;
+  PacketSocketCounters Counters;
+};
+
+size_t BatchSocket::receive(const Got &got) {
+  for (size_t i = 0; i < Batch; ++i)
+    In.Parts[i].iov_len = MaxPacketBytes;
+  int n = recvmmsg(Fd, In.Heads.data(), Batch, MSG_DONTWAIT, nullptr);
+  if (n <= 0)
+    return 0;
+  auto count = static_cast<size_t>(n);
+  Counters.Received += count;
+  for (size_t i = 0; i < count; ++i) {
+    if ((In.Heads[i].msg_hdr.msg_flags & MSG_TRUNC) != 0)
+      ++Counters.TooLong;
+    else
+      got(In.Bytes[i].data(), In.Heads[i].msg_len);
+  }
+  return count;
+}
+
+uint8_t *BatchSocket::prepare(const Endpoint &to, size_t n) {
+  assert(n <= MaxPacketBytes);
+  if (Prepared == Batch)
+    flush();
+  sockaddr_in &end = Out.Ends[Prepared];
+  end.sin_family = AF_INET;
+  end.sin_port = htons(to.Port);
+  end.sin_addr.s_addr = htonl(to.Ip);
+  Out.Parts[Prepared].iov_len = n;
+  Out.Heads[Prepared].msg_hdr.msg_name = &end;
+  Out.Heads[Prepared].msg_hdr.msg_namelen = sizeof end;
+  return Out.Bytes[Prepared++].data();
+}
+
+void BatchSocket::flush() {
+  size_t done = 0;
+  while (done < Prepared) {
+    int n = sendmmsg(Fd, Out.Heads.data() + done,
+                     static_cast<unsigned>(Prepared - done), MSG_DONTWAIT);
+    if (n <= 0) {
+      // The first one was refused (no route to it, or the buffer is full); it
+      // is lost like any datagram, and the rest is tried.
+      ++Counters.SendFailed;
+      ++done;
+      continue;
+    }
+    Counters.Sent += static_cast<uint64_t>(n);
+    done += static_cast<size_t>(n);
+  }
+  Prepared = 0;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<PacketSocket>>
+PacketSocket::open(const Address &at) {
+  auto fd = openDatagramSocket(at, BufferBytes);
+  if (!fd.ok())
+    return fd.status();
+  return std::unique_ptr<PacketSocket>(std::make_unique<BatchSocket>(*fd, at));
+}
+
+} // namespace balsamrack
--- a/Balsamrack/Peers/CborShape.h
+++ b/Balsamrack/Peers/CborShape.h
@@ -11,7 +11,8 @@
 /// Limits of a CBOR item that comes from a peer.
 struct CborLimits {
   size_t Bytes = size_t(6) << 20; ///< Largest encoded size, in bytes.
-  size_t Depth = 10;              ///< Arrays and maps inside each other.
+  size_t Depth = 12; ///< Arrays and maps inside each other: a published route's
+                     ///< targets lie eleven deep.
   size_t Items = size_t(1) << 18; ///< Values of any kind, all levels together.
 };
 
--- a/Balsamrack/Peers/PeerCodec.cpp
+++ b/Balsamrack/Peers/PeerCodec.cpp
@@ -14,11 +14,26 @@
 
 /// Names by index in the PeerMessage variant.
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> TypeNames =
-    {"Hello",          "Ping",          "PingRequest",       "Ack",
-     "StateRequest",   "StateUpdate",   "OwnershipHandOver", "Forward",
-     "OutcomeReport",  "CancelRequest", "FlowQuestion",      "FlowReply",
-     "FlowExceptions", "KeyClaim",      "KeyReply",          "KeySettled",
-     "KeysHandedOver"};
+    {"Hello",
+     "Ping",
+     "PingRequest",
+     "Ack",
+     "StateRequest",
+     "StateUpdate",
+     "OwnershipHandOver",
+     "Forward",
+     "OutcomeReport",
+     "CancelRequest",
+     "FlowQuestion",
+     "FlowReply",
+     "FlowExceptions",
+     "KeyClaim",
+     "KeyReply",
+     "KeySettled",
+     "KeysHandedOver",
+     "PublishedOffer",
+     "PublishedRequest",
+     "PublishedUpdate"};
 
 absl::Status fault(const std::string &message) {
   return makeError(absl::StatusCode::kInvalidArgument, Step::DecodePeerMessage,
--- a/Balsamrack/Peers/PeerFields.h
+++ b/Balsamrack/Peers/PeerFields.h
@@ -3,6 +3,7 @@
 
 #include "Balsamrack/Peers/FieldArchive.h"
 #include "Balsamrack/Peers/PeerMessage.h"
+#include "Balsamrack/Peers/PublishedFields.h"
 
 namespace balsamrack {
 
--- a/Balsamrack/Peers/PeerMessage.h
+++ b/Balsamrack/Peers/PeerMessage.h
@@ -6,6 +6,7 @@
 #include "Balsamrack/Configuration/ConfigurationMessages.h"
 #include "Balsamrack/Flows/FlowMessages.h"
 #include "Balsamrack/Membership/MembershipMessages.h"
+#include "Balsamrack/Published/PublishedMessages.h"
 #include "Balsamrack/World/Request.h"
 
 namespace balsamrack {
@@ -44,7 +45,8 @@
     std::variant<Hello, Ping, PingRequest, Ack, StateRequest, StateUpdate,
                  OwnershipHandOver, Forward, OutcomeReport, CancelRequest,
                  FlowQuestion, FlowReply, FlowExceptions, KeyClaim, KeyReply,
-                 KeySettled, KeysHandedOver>;
+                 KeySettled, KeysHandedOver, PublishedOffer, PublishedRequest,
+                 PublishedUpdate>;
 
 } // namespace balsamrack
 
--- /dev/null
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -0,0 +1,143 @@
+#ifndef BALSAMRACK_PEERS_PUBLISHEDFIELDS_H
+#define BALSAMRACK_PEERS_PUBLISHEDFIELDS_H
+
+#include <cmath>
+#include <memory>
+#include <utility>
+
+#include "Balsamrack/Peers/FieldArchive.h"
+#include "Balsamrack/Published/PublishedMessages.h"
+
+namespace balsamrack {
+
+// Fields of what is published, for PeerFields.h; see there.
+
+/// What an object is, on the wire.
+enum class PublishedKind { Gone, Configuration, Server, DomainOut };
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<RouteTarget> m) {
+  ar("s", m.Service);
+  ar("w", m.Weight);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedRoute> m) {
+  ar("a", m.At);
+  ar("t", m.Targets);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedService> m) {
+  // Frames carry no floating point numbers; thousandths are exact enough.
+  constexpr double Thousandths = 1000;
+  auto cold =
+      static_cast<uint64_t>(std::llround(m.ColdPerSecond * Thousandths));
+  ar("i", m.Id);
+  ar("c", cold);
+  if constexpr (Ar::Reads)
+    m.ColdPerSecond = static_cast<double>(cold) / Thousandths;
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<OperatorConfiguration> m) {
+  ar("v", m.Version);
+  ar("r", m.Routes);
+  ar("s", m.Services);
+  ar("i", m.IdleTimeout);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedServer> m) {
+  ar("s", m.Server);
+  ar("t", m.Tag);
+  ar("b", m.Born);
+  ar("c", m.ColdLeft);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<DomainOut> m) {
+  ar("d", m.Domain);
+}
+
+/// Reads or writes a shared state of type \p T.
+template <class T, class Ar>
+void sharedState(Ar &ar, typename Ar::template Ref<PublishedContent> m) {
+  if constexpr (Ar::Reads) {
+    auto state = std::make_shared<T>();
+    ar("o", *state);
+    m = std::shared_ptr<const T>(std::move(state));
+  } else {
+    ar("o", *std::get<std::shared_ptr<const T>>(m));
+  }
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedObject> m) {
+  auto kind = static_cast<PublishedKind>(m.Content.index());
+  ar.oneOf("p", m.Section, PublishedSection::Servers);
+  ar("n", m.Name);
+  ar("r", m.At);
+  ar.oneOf("k", kind, PublishedKind::DomainOut);
+  switch (kind) {
+  case PublishedKind::Gone:
+    if constexpr (Ar::Reads)
+      m.Content = std::monostate();
+    return;
+  case PublishedKind::Configuration:
+    return sharedState<OperatorConfiguration>(ar, m.Content);
+  case PublishedKind::Server: {
+    sharedState<PublishedServer>(ar, m.Content);
+    if constexpr (Ar::Reads) {
+      // The server's id is the object's name and does not travel twice.
+      auto named = std::make_shared<PublishedServer>(
+          *std::get<std::shared_ptr<const PublishedServer>>(m.Content));
+      named->Server.Id = ServerId(m.Name);
+      m.Content = std::shared_ptr<const PublishedServer>(std::move(named));
+    }
+    return;
+  }
+  case PublishedKind::DomainOut:
+    if constexpr (Ar::Reads)
+      m.Content = DomainOut();
+    ar("o", std::get<DomainOut>(m.Content));
+    return;
+  }
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedChanges> m) {
+  ar.oneOf("p", m.Section, PublishedSection::Servers);
+  ar("f", m.After);
+  ar("a", m.As);
+  ar("o", m.Objects);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<SectionMark> m) {
+  ar("a", m.As);
+  ar("l", m.LastChange);
+  ar("g", m.Age);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedOffer> m) {
+  ar("m", m.Marks);
+  ar("a", m.Answer);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedRequest> m) {
+  ar("a", m.After);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedUpdate> m) {
+  ar("c", m.Changes);
+  ar("m", m.Marks);
+  ar("r", m.Relayed);
+}
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PEERS_PUBLISHEDFIELDS_H
--- /dev/null
+++ b/Balsamrack/Published/NewsExchange.h
@@ -0,0 +1,153 @@
+#ifndef BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
+#define BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
+
+#include <array>
+#include <map>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Published/PublishedMessages.h"
+#include "Balsamrack/Published/PublishedSource.h"
+#include "Balsamrack/Published/PublishedStore.h"
+
+namespace balsamrack {
+
+/// Times and limits of the exchange of news.
+struct NewsSettings {
+  Duration Watch{2'000'000}; ///< One watch of the publishing service waits so
+                             ///< long: its answer is the proof that the service
+                             ///< still speaks to its reader.
+  Duration TakeoverAge{2'600'000}; ///< News without such a proof for longer:
+                                   ///< others read too. A watch and its way to
+                                   ///< all peers fit in.
+  Duration TakeoverStep{200'000};  ///< The next one in a domain's order waits
+                                   ///< longer by this, so that few read.
+  Duration OfferPeriod{250'000};   ///< One peer is told what is held here.
+  Duration MinBackoff{250'000};    ///< Between reads, after a failure.
+  Duration MaxBackoff{2'000'000};  ///< After many failures.
+  Duration LeastPeriod{20'000};    ///< Between reads of one section, whatever
+                                   ///< the service answers.
+  size_t MostTold = 32; ///< Peers of the own domain that are told of a change
+                        ///< at once; more hear by offers.
+  size_t AllTold = 16;  ///< A fleet up to this size is told as a whole.
+};
+
+/// Send a peer a message.
+struct SendNews {
+  EntryVm To; ///< Whom.
+  std::variant<PublishedOffer, PublishedRequest, PublishedUpdate> What;
+};
+/// Read the publishing service; answer by readEnded().
+struct ReadNews {
+  PublishedRead What; ///< See there.
+};
+/// Something changed in a section.
+struct NewsChanged {
+  PublishedSection Section = PublishedSection::Servers; ///< Where.
+  std::vector<PublishedObject> Changed; ///< Objects in their new state.
+  VmId From; ///< The peer that told; empty: read here.
+};
+/// The service became, or ceased to be, readable from here.
+struct SourceChanged {
+  PublishedSection Section = PublishedSection::Servers; ///< By which reads.
+  bool Good = false; ///< It answered; else it failed.
+  std::string Error; ///< Why, when it failed.
+};
+
+/// All that a NewsExchange asks for, in order.
+using NewsAction = std::variant<SendNews, ReadNews, NewsChanged, SourceChanged>;
+
+/// Who reads the publishing service, and how everybody hears: one daemon a
+/// failure domain reads and tells its domain and a few others; all compare what
+/// they hold with one random peer a quarter second. Whoever hears no proof of
+/// freshness for some seconds reads by itself, so news depend neither on one's
+/// own path to the service nor on any single daemon. Load of a daemon and of
+/// the service does not grow with the fleet. Deterministic. Not thread-safe.
+class NewsExchange {
+public:
+  /// An exchange for \p self that holds nothing. Precondition: \p random
+  /// outlives it.
+  NewsExchange(const NewsSettings &settings, const EntryVm &self,
+               RandomSource &random);
+
+  /// What is held.
+  const PublishedStore &store() const { return Store; }
+  /// Since when \p section was last proved to be the newest; zero: never.
+  TimePoint provedAt(PublishedSection section) const {
+    return at(section).ProvedAt;
+  }
+  /// True when this daemon is its domain's reader.
+  bool reads() const { return rank() == 0; }
+
+  /// These daemons live, this one left out.
+  void setPeers(const std::vector<EntryVm> &peers) { Peers = peers; }
+  /// Time has passed; to be called by nextWakeup().
+  std::vector<NewsAction> tick(TimePoint now);
+  /// This process was paused: what it holds may be old.
+  std::vector<NewsAction> woke(TimePoint now);
+  /// A read that was asked for has ended.
+  std::vector<NewsAction> readEnded(TimePoint now, const PublishedRead &read,
+                                    absl::StatusOr<PublishedChanges> result);
+  /// A peer's message came in.
+  std::vector<NewsAction> offered(TimePoint now, const EntryVm &from,
+                                  const PublishedOffer &offer);
+  /// As above.
+  std::vector<NewsAction> asked(TimePoint now, const EntryVm &from,
+                                const PublishedRequest &request);
+  /// As above.
+  std::vector<NewsAction> told(TimePoint now, const EntryVm &from,
+                               const PublishedUpdate &update);
+  /// When tick() is due.
+  TimePoint nextWakeup() const;
+
+private:
+  /// What is known and under way for one section.
+  struct SectionState {
+    TimePoint ProvedAt;    ///< See provedAt().
+    bool Reading = false;  ///< A read is under way.
+    bool ListNext = false; ///< The history that a watch needs is gone.
+    TimePoint NextRead;    ///< Not before.
+    uint32_t Failures = 0; ///< In a row.
+  };
+
+  SectionState &at(PublishedSection section) {
+    return Sections[static_cast<size_t>(section)];
+  }
+  const SectionState &at(PublishedSection section) const {
+    return Sections[static_cast<size_t>(section)];
+  }
+  size_t rank() const;
+  bool wantsRead(TimePoint now, PublishedSection section) const;
+  void readIfWanted(TimePoint now, PublishedSection section);
+  void failed(TimePoint now, const PublishedRead &read,
+              const absl::Status &status);
+  std::vector<SectionMark> marks(TimePoint now) const;
+  PublishedRequest request() const;
+  void takeMarks(TimePoint now, const std::vector<SectionMark> &marks);
+  bool lacks(const std::vector<SectionMark> &theirs) const;
+  bool merge(const PublishedChanges &changes, const VmId &from);
+  void tellDomain(const PublishedUpdate &update);
+  void tellFleet(TimePoint now, PublishedChanges changes);
+  void offerTo(TimePoint now, const EntryVm &peer, bool answer);
+  void offerOne(TimePoint now);
+  void offerDomain(TimePoint now);
+  std::vector<EntryVm> pick(bool ownDomain, size_t most);
+  std::vector<NewsAction> take() { return std::exchange(Actions, {}); }
+
+  const NewsSettings Settings;
+  const EntryVm Self;
+  RandomSource &Random;
+  PublishedStore Store;                                 ///< What is held.
+  std::array<SectionState, PublishedSections> Sections; ///< By section.
+  std::vector<EntryVm> Peers;                           ///< Who lives.
+  TimePoint NextOffer;                                  ///< Of one random peer.
+  bool DomainTurn = true;          ///< Whose turn the next offer is.
+  std::vector<NewsAction> Actions; ///< Of the call under way.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
--- /dev/null
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -0,0 +1,39 @@
+#ifndef BALSAMRACK_PUBLISHED_PUBLISHEDMESSAGES_H
+#define BALSAMRACK_PUBLISHED_PUBLISHEDMESSAGES_H
+
+#include <array>
+#include <vector>
+
+#include "Balsamrack/Published/PublishedState.h"
+
+namespace balsamrack {
+
+/// What a daemon holds of one section.
+struct SectionMark {
+  Revision As;         ///< Complete up to here; zero: nothing.
+  Revision LastChange; ///< Newest change held.
+  Duration Age{0};     ///< Since a reader was told by the publishing service
+                       ///< that nothing newer exists.
+};
+
+/// Tells a peer what is held here.
+struct PublishedOffer {
+  std::vector<SectionMark> Marks; ///< One a section, in their order.
+  bool Answer = false;            ///< Answers an offer: needs none itself.
+};
+
+/// Asks a peer for what is lacking here.
+struct PublishedRequest {
+  std::vector<Revision> After; ///< One a section: held up to here.
+};
+
+/// Tells a peer what it lacks, or what has just changed.
+struct PublishedUpdate {
+  std::vector<PublishedChanges> Changes; ///< At most one a section.
+  std::vector<SectionMark> Marks;        ///< As in an offer.
+  bool Relayed = false; ///< Passed on within a failure domain; not again.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PUBLISHED_PUBLISHEDMESSAGES_H
--- /dev/null
+++ b/Balsamrack/Published/PublishedStore.h
@@ -0,0 +1,75 @@
+#ifndef BALSAMRACK_PUBLISHED_PUBLISHEDSTORE_H
+#define BALSAMRACK_PUBLISHED_PUBLISHEDSTORE_H
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Balsamrack/Published/PublishedState.h"
+
+namespace balsamrack {
+
+/// All that is known of what operators and servers publish, merged from reads
+/// and from peers: the highest revision wins for each object, and nothing ever
+/// goes back within one life. Order, repetition and gaps of delivery don't
+/// matter. Deterministic. Not thread-safe.
+///
+/// Failure guarded against: a daemon that was cut off brings back an object
+/// that is long gone (a dropped route, a server whose address now belongs to
+/// another service). Each section knows up to which revision it is complete; an
+/// unknown object that is older than that must have gone, and stays away.
+class PublishedStore {
+public:
+  /// Objects that are gone are remembered up to this number, so that peers
+  /// that lag can be told by a list of changes; a peer that lags further gets
+  /// everything. A thousand cover about a day of server changes of a site.
+  static constexpr size_t MaxGone = 1000;
+
+  /// Merges \p changes; returns the objects whose state changed, as they are
+  /// now. An object that disappears because a complete listing lacks it is
+  /// among them.
+  std::vector<PublishedObject> merge(const PublishedChanges &changes);
+
+  /// Up to which revision \p section is completely known; zero: not at all.
+  Revision completeAs(PublishedSection section) const {
+    return part(section).CompleteAs;
+  }
+  /// The revision of the newest change in \p section that is held.
+  Revision lastChange(PublishedSection section) const {
+    return part(section).LastChange;
+  }
+  /// A peer whose newest change is \p lastChange knows \p section completely up
+  /// to \p as. When it is our newest change too, nothing has changed up to
+  /// there, and it is complete here as well; true then.
+  bool completeUpTo(PublishedSection section, Revision lastChange, Revision as);
+  /// True when all sections are completely known up to some revision.
+  bool complete() const;
+  /// What a holder of \p section up to \p after lacks.
+  PublishedChanges changesAfter(PublishedSection section, Revision after) const;
+  /// The objects of \p section that exist, by name.
+  std::vector<PublishedObject> objects(PublishedSection section) const;
+
+private:
+  /// What is held of one section.
+  struct Part {
+    Revision CompleteAs; ///< Nothing up to here is unknown.
+    Revision LastChange; ///< Newest revision of any object.
+    Revision ForgotUpTo; ///< Gone objects up to here may be forgotten.
+    std::map<std::string, PublishedObject> Objects; ///< Gone ones included.
+    std::deque<std::string> Gone; ///< Names of gone objects, oldest first.
+  };
+
+  const Part &part(PublishedSection section) const {
+    return Parts[static_cast<size_t>(section)];
+  }
+  static bool apply(Part &into, const PublishedObject &object);
+  static void forgetOldest(Part &from);
+
+  std::array<Part, PublishedSections> Parts; ///< By section.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PUBLISHED_PUBLISHEDSTORE_H
--- a/Balsamrack/Settings/Settings.cpp
+++ b/Balsamrack/Settings/Settings.cpp
@@ -205,13 +205,20 @@
   return result;
 }
 
-absl::StatusOr<SettingsResult> readSettings(const std::string &path) {
+absl::StatusOr<std::string> readSettingsText(const std::string &path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf()))
     return makeError(absl::StatusCode::kNotFound, Step::ReadSettings, path,
                      "the file can't be read");
-  return parseSettings(text.str());
+  return text.str();
+}
+
+absl::StatusOr<SettingsResult> readSettings(const std::string &path) {
+  auto text = readSettingsText(path);
+  if (!text.ok())
+    return text.status();
+  return parseSettings(*text);
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Settings/Settings.h
+++ b/Balsamrack/Settings/Settings.h
@@ -106,6 +106,10 @@
 /// fails otherwise. Thread-safe.
 SettingsResult parseSettings(const std::string &text);
 
+/// Reads the file at \p path as text. Error kNotFound (step read-settings).
+/// Thread-safe.
+absl::StatusOr<std::string> readSettingsText(const std::string &path);
+
 /// Reads and checks the file at \p path. Error kNotFound (step read-settings)
 /// when it can't be read; faults are in the result. Thread-safe.
 absl::StatusOr<SettingsResult> readSettings(const std::string &path);
--- /dev/null
+++ b/Programs/balsamrack-packetd.cpp
@@ -0,0 +1,190 @@
+// balsamrack-packetd: the daemon of an entry VM on a packet carrier. A thin
+// main over the library and the platform's folder.
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <memory>
+
+#include <cxxopts.hpp>
+
+#include "Balsamrack/Core/Errors.h"
+#include "Balsamrack/Daemon/PacketDaemon.h"
+#include "platform/EchoPackets.h"
+#include "platform/StoreReader.h"
+
+namespace balsamrack {
+namespace {
+
+/// Exit codes, told by --help.
+constexpr int Good = 0;
+constexpr int Failed = 1;
+constexpr int BadSettings = 2;
+
+/// The settings file may change without a signal; it is looked at so often.
+constexpr timespec LookPeriod{1, 0};
+constexpr int StandardOutput = 1;
+
+cxxopts::Options options() {
+  cxxopts::Options all(
+      "balsamrack-packetd",
+      "The daemon of a balsamrack entry VM on a packet carrier.\n"
+      "Exit codes: 0 good, 1 it could not start, 2 the command line is wrong,\n"
+      "or the settings are (with --check-settings).\n"
+      "SIGTERM or SIGINT: graceful shutdown. SIGHUP: the settings file is "
+      "read\n"
+      "again, as it is when it changes.\n");
+  all.add_options()("settings", "settings file (JSON)",
+                    cxxopts::value<std::string>())(
+      "check-settings", "check the settings file and exit")(
+      "print-schema", "print the JSON schema of the settings and exit")(
+      "version", "print the version")("h,help", "print this help");
+  return all;
+}
+
+/// The settings file, read again and again. Bad content never replaces good.
+class SettingsFile {
+public:
+  SettingsFile(std::string path, EventLog &log)
+      : Path(std::move(path)), Log(log) {}
+
+  /// Reads the file; true when it has new, good content.
+  bool look() {
+    auto text = readSettingsText(Path);
+    if (!text.ok()) {
+      complain("", std::string(text.status().message()));
+      return false;
+    }
+    if (*text == Text)
+      return false;
+    Text = *text;
+    PacketSettingsResult read = parsePacketSettings(Text);
+    for (const SettingsFault &fault : read.Faults)
+      Log.write(LogLine(Part::Daemon, Severity::Error, "bad-settings")
+                    .text("file", Path)
+                    .text("fault", fault.str()));
+    if (!read.Faults.empty())
+      return false;
+    Values = read.Values;
+    Complaint.clear();
+    return true;
+  }
+  const PacketSettings &values() const { return Values; }
+
+private:
+  /// Once for each kind of trouble, not at each look.
+  void complain(const std::string &text, const std::string &what) {
+    if (what == Complaint)
+      return;
+    Text = text;
+    Complaint = what;
+    Log.write(LogLine(Part::Daemon, Severity::Error, "settings-unreadable")
+                  .text("file", Path)
+                  .text("error", what));
+  }
+
+  const std::string Path;
+  EventLog &Log;
+  std::string Text;
+  std::string Complaint;
+  PacketSettings Values;
+};
+
+/// Waits for a signal or for the next look at the settings; zero for the
+/// latter.
+int nextSignal(const sigset_t &signals) {
+  int signal = sigtimedwait(&signals, nullptr, &LookPeriod);
+  return signal < 0 ? 0 : signal;
+}
+
+bool asksForEnd(int signal) { return signal == SIGTERM || signal == SIGINT; }
+
+int serve(const std::string &path, const sigset_t &signals) {
+  SystemClock clock;
+  auto log = EventLog::create(EventLogSettings(), StandardOutput, clock);
+  log->write(LogLine(Part::Daemon, Severity::Info, "started")
+                 .text("version", BALSAMRACK_VERSION));
+  // A bad file at the start is waited out: an exit would only bring the same
+  // file again.
+  SettingsFile file(path, *log);
+  while (!file.look())
+    if (asksForEnd(nextSignal(signals)))
+      return Good;
+  const PacketSettings settings = file.values();
+  platform::EchoPackets codec;
+  auto source = platform::StoreReader::create(settings.Source);
+  if (!source.ok()) {
+    std::cerr << "balsamrack-packetd: " << describe(source.status()) << "\n";
+    return Failed;
+  }
+  auto daemon = PacketDaemon::create(settings, {codec, **source, clock, *log});
+  if (!daemon.ok()) {
+    std::cerr << "balsamrack-packetd: " << describe(daemon.status()) << "\n";
+    return Failed;
+  }
+  for (int signal = 0; !asksForEnd(signal); signal = nextSignal(signals))
+    if (file.look())
+      (*daemon)->reload(file.values());
+  (*daemon)->shutDown();
+  return Good;
+}
+
+int checkSettings(const std::string &path) {
+  auto text = readSettingsText(path);
+  if (!text.ok()) {
+    std::cerr << "balsamrack-packetd: " << describe(text.status()) << "\n";
+    return BadSettings;
+  }
+  PacketSettingsResult read = parsePacketSettings(*text);
+  for (const SettingsFault &it : read.Faults)
+    std::cerr << it.str() << "\n";
+  if (!read.Faults.empty())
+    return BadSettings;
+  std::cout << "settings are good\n";
+  return Good;
+}
+
+int run(int argc, char **argv) {
+  const cxxopts::ParseResult parsed = options().parse(argc, argv);
+  if (parsed.count("help")) {
+    std::cout << options().help();
+    return Good;
+  }
+  if (parsed.count("version")) {
+    std::cout << "balsamrack-packetd " << BALSAMRACK_VERSION << "\n";
+    return Good;
+  }
+  if (parsed.count("print-schema")) {
+    std::cout << packetSettingsSchema() << "\n";
+    return Good;
+  }
+  if (!parsed.count("settings")) {
+    std::cerr << "balsamrack-packetd: --settings FILE is missing; see --help\n";
+    return BadSettings;
+  }
+  std::string path = parsed["settings"].as<std::string>();
+  if (parsed.count("check-settings"))
+    return checkSettings(path);
+
+  // All threads inherit the mask, so that only the main thread sees these.
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int it : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&signals, it);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return serve(path, signals);
+}
+
+} // namespace
+} // namespace balsamrack
+
+int main(int argc, char **argv) {
+  // cxxopts tells wrong usage by exceptions.
+  try {
+    return balsamrack::run(argc, argv);
+  } catch (const std::exception &error) {
+    std::cerr << "balsamrack-packetd: " << error.what() << "; see --help\n";
+    return balsamrack::BadSettings;
+  }
+}
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -47,6 +47,47 @@
   return {{ObjectKind::Server, "booking-01"}, {9}, s};
 }
 
+PublishedObject configuration() {
+  auto c = std::make_shared<OperatorConfiguration>();
+  c->Version = 7;
+  c->Routes = {{{"198.18.0.1", 443},
+                {{ServiceId("booking"), 90}, {ServiceId("plans"), 10}}}};
+  c->Services = {{ServiceId("booking"), 2.5}};
+  c->IdleTimeout = Duration(15'000'000);
+  return {PublishedSection::Operators,
+          "config",
+          {8},
+          std::shared_ptr<const OperatorConfiguration>(c)};
+}
+
+PublishedObject publishedServer() {
+  auto s = std::make_shared<PublishedServer>();
+  s->Server.Id = ServerId("i-7f");
+  s->Server.Service = ServiceId("booking");
+  s->Server.Domain = DomainId("bern-a");
+  s->Server.At = {"127.0.0.1", 9001};
+  s->Tag = 0x7f;
+  s->Born = 1;
+  s->ColdLeft = Duration(2);
+  return {PublishedSection::Servers,
+          "i-7f",
+          {9},
+          std::shared_ptr<const PublishedServer>(s)};
+}
+
+PublishedUpdate publishedUpdate() {
+  PublishedObject out{PublishedSection::Operators,
+                      "evacuate/bern-a",
+                      {10},
+                      DomainOut{DomainId("bern-a")}};
+  PublishedObject gone{
+      PublishedSection::Servers, "i-80", {11}, std::monostate()};
+  return {{{PublishedSection::Operators, {5}, {12}, {configuration(), out}},
+           {PublishedSection::Servers, {}, {12}, {publishedServer(), gone}}},
+          {{{12}, {10}, Duration(3)}, {{12}, {11}, Duration(4)}},
+          true};
+}
+
 Forward forward() {
   Forward f;
   f.Head.Request = {11};
@@ -115,7 +156,10 @@
                          true,
                          1,
                          true,
-                         {VmId("vm-1"), VmId("vm-2")}}};
+                         {VmId("vm-1"), VmId("vm-2")}},
+          PublishedOffer{{{{12}, {10}, Duration(3)}}, true},
+          PublishedRequest{{{12}, {11}}},
+          publishedUpdate()};
 }
 
 } // namespace balsamrack
