Look at remembered flows in order of their time; hold late copies back

Looks at flows stood in a queue in the order in which they were planned; an open flow's look, due after twenty seconds, held up all that were planned behind it, so counts of vanished callers stayed and servers that stood idle were avoided. Now a heap by time (FlowMemoryTest.ALongWaitHoldsUpNoOtherFlow failed first). Besides: openings wait for the first news after a start or a pause instead of being dropped; copies whose latency objective is over wait for a free slot while all are busy (waitOfCopy); a fleet that starts as a whole finds itself by probes every 100 ms for two seconds. Ruled out: time lost at the start (34 ms from main to ready).

--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -25,6 +25,12 @@
 MembershipSettings packetMembership() {
   MembershipSettings settings;
   settings.HintRetryMax = Duration(4'000'000);
+  // After a loss of power all daemons start within some hundred milliseconds,
+  // and until they know each other each takes all slots for its own.
+  settings.StartPeriod = Duration(100'000);
+  settings.StartSpan = Duration(2'000'000);
+  // A small fleet's whole table fits into one message.
+  settings.NewsBytes = 1'200;
   return settings;
 }
 
--- a/Balsamrack/Decisions/OpeningChoice.cpp
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -54,10 +54,10 @@
   return sum / slots;
 }
 
-std::optional<size_t>
+std::optional<OpeningChoice>
 chooseForOpening(const std::vector<OpeningCandidate> &candidates,
                  double othersLoad, RandomSource &random) {
-  std::optional<size_t> best;
+  std::optional<OpeningChoice> best;
   Cost bestCost{};
   uint64_t alike = 0;
   for (const OpeningCandidate &candidate : candidates) {
@@ -65,12 +65,12 @@
     if (best && same(cost, bestCost)) {
       // Reservoir of one: each of those alike is as likely.
       if (random.below(++alike) == 0)
-        best = candidate.Server;
+        best->Server = candidate.Server;
       continue;
     }
     if (best && !less(cost, bestCost))
       continue;
-    best = candidate.Server;
+    best = OpeningChoice{candidate.Server, cost.Wait};
     bestCost = cost;
     alike = 1;
   }
--- a/Balsamrack/Decisions/OpeningChoice.h
+++ b/Balsamrack/Decisions/OpeningChoice.h
@@ -42,10 +42,16 @@
 /// othersLoad (1 is full) independently of each other. Pure, thread-safe.
 double expectedWait(const OpeningCandidate &candidate, double othersLoad);
 
+/// The server that was chosen, and what is expected there.
+struct OpeningChoice {
+  size_t Server = 0; ///< The caller's own number of it.
+  double Wait = 0;   ///< Flows that the new one would wait for, a slot.
+};
+
 /// Chooses the server for a new flow: the earliest rank, then the least
 /// expected wait, then the fewest own flows, then chance. Nothing without
 /// candidates. Pure but for \p random, thread-safe as that is.
-std::optional<size_t>
+std::optional<OpeningChoice>
 chooseForOpening(const std::vector<OpeningCandidate> &candidates,
                  double othersLoad, RandomSource &random);
 
--- a/Balsamrack/Membership/HintList.cpp
+++ b/Balsamrack/Membership/HintList.cpp
@@ -11,6 +11,8 @@
 constexpr size_t OwnDomainTries = 3;
 /// Others come one by one, so that a long list of dead VMs costs little.
 constexpr size_t OtherTries = 1;
+/// Seeds are few, and their domain may not be known.
+constexpr size_t SeedTries = 3;
 
 } // namespace
 
@@ -18,7 +20,9 @@
     : Settings(settings), Self(self) {}
 
 void HintList::add(TimePoint now, const EntryVm &vm) {
-  Hints.try_emplace(vm.Id, Hint{vm, now, Settings.ProbePeriod});
+  Hints.try_emplace(
+      vm.Id,
+      Hint{vm, now, std::min(Settings.StartPeriod, Settings.ProbePeriod)});
 }
 
 void HintList::addMissing(TimePoint now, const std::vector<EntryVm> &vms,
@@ -62,9 +66,10 @@
   std::vector<EntryVm> own, others;
   for (auto &[id, hint] : Hints) {
     bool sameDomain = hint.Vm.Domain == Self.Domain;
+    bool seed = Seeded.count(id) != 0;
     auto &list = sameDomain ? own : others;
-    if (hint.Next > now ||
-        list.size() >= (sameDomain ? OwnDomainTries : OtherTries))
+    size_t most = sameDomain ? OwnDomainTries : seed ? SeedTries : OtherTries;
+    if (hint.Next > now || list.size() >= most)
       continue;
     list.push_back(hint.Vm);
     hint.Next = now + hint.Wait;
--- a/Balsamrack/Membership/MembershipSettings.h
+++ b/Balsamrack/Membership/MembershipSettings.h
@@ -12,8 +12,11 @@
 /// Times and limits of membership and ownership. The reasons for the defaults
 /// stand in docs/design/membership.md. Not thread-safe for writing.
 struct MembershipSettings {
-  Duration ProbePeriod{500'000};  ///< One probe each, own domain and fleet by
-                                  ///< turns.
+  Duration ProbePeriod{500'000}; ///< One probe each, own domain and fleet by
+                                 ///< turns.
+  Duration StartPeriod{500'000}; ///< As ProbePeriod, for the first StartSpan.
+  Duration StartSpan{0}; ///< A fleet that starts as a whole finds itself sooner
+                         ///< by a shorter StartPeriod.
   Duration ProbeTimeout{200'000}; ///< Wait for an answer before asking others.
   Duration IndirectTimeout{400'000}; ///< Then for an answer through others.
   uint32_t IndirectProbes = 3;       ///< Daemons asked to probe for us.
--- a/Balsamrack/Membership/SwimMembership.cpp
+++ b/Balsamrack/Membership/SwimMembership.cpp
@@ -55,8 +55,10 @@
 
 void SwimMembership::on(const MembershipTicked &) {
   // Daemons that start together would otherwise probe in step for ever.
-  if (LastTick == TimePoint{})
+  if (LastTick == TimePoint{}) {
     NextPeriod = Now;
+    StartUntil = Now + Settings.StartSpan;
+  }
   LastTick = Now;
   expireRelays();
   expireProbes();
@@ -68,7 +70,9 @@
   if (Now < NextPeriod)
     return;
   // After a late tick the lost periods are not made up for.
-  NextPeriod = std::max(NextPeriod + Settings.ProbePeriod, Now);
+  NextPeriod = std::max(NextPeriod + (Now < StartUntil ? Settings.StartPeriod
+                                                       : Settings.ProbePeriod),
+                        Now);
   if (Table.self().State == MemberState::Left)
     return;
   probeNext();
--- a/Balsamrack/Membership/SwimMembership.h
+++ b/Balsamrack/Membership/SwimMembership.h
@@ -94,6 +94,7 @@
   uint64_t LastSequence = 0;             ///< Of probes.
   TimePoint Now;                         ///< Of the event being handled.
   TimePoint LastTick;                    ///< Zero before the first one.
+  TimePoint StartUntil;                  ///< Probes come quicker until then.
   TimePoint NextPeriod;                  ///< When the next probe is due.
   TimePoint NextUnreachable;             ///< When the next one there is due.
   TimePoint NextFullNews;                ///< Whole tables are sent this late.
--- a/Balsamrack/Packets/FlowMemory.cpp
+++ b/Balsamrack/Packets/FlowMemory.cpp
@@ -21,15 +21,15 @@
   RememberedFlow &flow = Flows[key];
   flow.OpenedAt = now;
   flow.LastSeen = now;
-  Turns.push_back({now + TurnPeriod, key});
+  Turns.push({now + TurnPeriod, key});
   return &flow;
 }
 
 void FlowMemory::sweep(TimePoint now, Duration quiet, const KeepFor &keep,
                        const OnQuiet &onQuiet) {
-  while (!Turns.empty() && Turns.front().At <= now) {
-    FlowKey key = Turns.front().Key;
-    Turns.pop_front();
+  while (!Turns.empty() && Turns.top().At <= now) {
+    FlowKey key = Turns.top().Key;
+    Turns.pop();
     auto it = Flows.find(key);
     if (it == Flows.end())
       continue;
@@ -42,8 +42,7 @@
       continue;
     }
     Duration next = silent >= quiet ? keep(it->second) : quiet;
-    Turns.push_back(
-        {std::max(it->second.LastSeen + next, now + TurnPeriod), key});
+    Turns.push({std::max(it->second.LastSeen + next, now + TurnPeriod), key});
   }
 }
 
--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -4,8 +4,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <queue>
+#include <vector>
 
 #include "Balsamrack/Core/Time.h"
 #include "Balsamrack/Packets/Packet.h"
@@ -76,14 +77,16 @@
   struct Turn {
     TimePoint At;
     FlowKey Key;
+    friend bool operator>(const Turn &a, const Turn &b) { return a.At > b.At; }
   };
   /// Shortest time between two looks at a flow.
   static constexpr Duration TurnPeriod{500'000};
 
   const size_t Most; ///< Bound.
   absl::flat_hash_map<FlowKey, RememberedFlow> Flows;
-  std::deque<Turn> Turns; ///< One for each flow, nearly in order of time: a
-                          ///< look may come late, never early.
+  /// One for each flow, the earliest on top: they are planned for very
+  /// different spans, and a long one must not hold up the others.
+  std::priority_queue<Turn, std::vector<Turn>, std::greater<Turn>> Turns;
 };
 
 } // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -0,0 +1,74 @@
+#ifndef BALSAMRACK_PACKETS_HELDOPENINGS_H
+#define BALSAMRACK_PACKETS_HELDOPENINGS_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "Balsamrack/Core/Time.h"
+#include "Balsamrack/Packets/Packet.h"
+
+namespace balsamrack {
+
+/// An opening with its bytes as they came.
+struct KeptOpening {
+  /// Openings carry no data.
+  static constexpr size_t MaxBytes = 48;
+
+  PacketHead Head;                        ///< Of it.
+  size_t Bytes = 0;                       ///< Length of Packet.
+  std::array<uint8_t, MaxBytes> Packet{}; ///< As it came.
+
+  /// Keeps \p n bytes; false when there are too many.
+  bool keep(const PacketHead &head, const uint8_t *bytes, size_t n);
+};
+
+/// How long an opening that is a copy may wait for a free slot, or zero when it
+/// shall not wait at all.
+///
+/// Load that it answers: all daemons were away for a second or two, and when
+/// they are back their callers come all at once: those that call just now, and
+/// those that have called all along. Served in the order of arrival, everybody
+/// waits behind everybody and nearly all are late; one in three was in time,
+/// measured over the two seconds after a loss of power. The copies' callers
+/// have lost their objective already, but have time left, so they give way to
+/// those that can still be served in time, as in adaptive LIFO queues.
+///
+/// An opening whose objective is not over, or that has less than a quarter of
+/// its time left, does not wait. \p objective and \p timeout may be zero for
+/// "not given"; without an objective nothing waits. Pure, thread-safe.
+Duration waitOfCopy(Duration age, Duration objective, Duration timeout);
+
+/// Openings that wait: for the first news after a start or a pause, or for free
+/// slots. Bounded. Not thread-safe.
+class HeldOpenings {
+public:
+  /// Half a second of a small site's openings at a daemon.
+  static constexpr size_t Most = 512;
+
+  /// One that waits.
+  struct Held {
+    KeptOpening Opening; ///< What waits.
+    TimePoint Until;     ///< It goes on then at the latest.
+  };
+
+  /// Takes one in; false when there is no room.
+  bool add(const KeptOpening &opening, TimePoint until);
+  /// True when nothing waits.
+  bool empty() const { return Waiting.empty(); }
+  /// Number of those that wait.
+  size_t size() const { return Waiting.size(); }
+  /// The next one in turn. Precondition: not empty().
+  const Held &front() const { return Waiting.front(); }
+  /// Takes the next one out. Precondition: not empty().
+  Held take();
+
+private:
+  std::deque<Held> Waiting; ///< In order of arrival.
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_PACKETS_HELDOPENINGS_H
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cstring>
 #include <utility>
 
 #include "Balsamrack/Decisions/SlotShares.h"
@@ -58,6 +57,8 @@
 
 void PacketRouter::packet(TimePoint now, const PacketHead &head,
                           const uint8_t *bytes, size_t n, PacketSink &out) {
+  if (!Routes && head.Opens && holdBack(now, head, bytes, n, Settings.NewsWait))
+    return;
   if (!Routes) {
     out.tell(eventOf(PacketEventKind::Dropped, PacketReason::NotReady,
                      head.Flow, NoServerIndex));
@@ -102,39 +103,83 @@
     Flows.erase(head.Flow);
   }
   if (Stale) {
-    out.tell(eventOf(PacketEventKind::Dropped, PacketReason::Stale, head.Flow,
-                     NoServerIndex));
+    if (!holdBack(now, head, bytes, n, Settings.NewsWait))
+      out.tell(eventOf(PacketEventKind::Dropped, PacketReason::Stale, head.Flow,
+                       NoServerIndex));
     return;
   }
+  place(now, head, bytes, n, true, out);
+}
+
+bool PacketRouter::holdBack(TimePoint now, const PacketHead &head,
+                            const uint8_t *bytes, size_t n, Duration most) {
+  KeptOpening opening;
+  return opening.keep(head, bytes, n) && Held.add(opening, now + most);
+}
+
+void PacketRouter::place(TimePoint now, const PacketHead &head,
+                         const uint8_t *bytes, size_t n, bool mayWait,
+                         PacketSink &out) {
   const ServiceId *service = serviceFor(head.Flow);
   if (!service) {
     refuse(head, PacketReason::NoRoute, out);
     return;
   }
   RememberedFlow spare;
-  std::optional<ServerIndex> to = choose(now, *service, spare);
+  auto to = choose(now, *service, spare);
   if (!to) {
     refuse(head, PacketReason::NoServer, out);
     return;
   }
-  flow = Flows.add(now, head.Flow);
+  const RoutedRoute &route = Routes->Routes.at(head.Flow.Service);
+  Duration wait = waitOfCopy(head.Age, route.Objective, route.Timeout);
+  if (mayWait && wait > Duration{0} && to->Wait > Settings.FreeWait &&
+      holdBack(now, head, bytes, n, wait))
+    return;
+  RememberedFlow *flow = Flows.add(now, head.Flow);
   if (!flow)
     flow = &spare;
   flow->OpenedAt = now;
   flow->FirstSequence = head.Sequence;
-  sendOpening(now, *flow, *to, head, bytes, n, out);
+  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
   // A flow that has no room in the memory is not counted, or its count would
   // stay for ever.
   if (flow == &spare)
     release(spare);
 }
 
+void PacketRouter::goOnWithHeld(TimePoint now, PacketSink &out) {
+  if (!Routes || Stale)
+    return;
+  // Each that waits is looked at once; those that have to wait on go to the
+  // end, behind those that came after them and wait for the same slots.
+  for (size_t n = Held.size(); n > 0; --n) {
+    HeldOpenings::Held held = Held.take();
+    const KeptOpening &opening = held.Opening;
+    const ServiceId *service = serviceFor(opening.Head.Flow);
+    RememberedFlow *flow = Flows.find(opening.Head.Flow);
+    bool known = flow && flow->FirstSequence == opening.Head.Sequence;
+    if (known)
+      continue;
+    bool waits = service && opening.Head.Age > Duration{0} &&
+                 now < held.Until && !slotIsFree(now, *service);
+    if (waits && Held.add(opening, held.Until))
+      continue;
+    place(now, opening.Head, opening.Packet.data(), opening.Bytes, false, out);
+  }
+}
+
+bool PacketRouter::slotIsFree(TimePoint now, const ServiceId &service) {
+  auto best = choose(now, service, RememberedFlow());
+  return best && best->Wait <= Settings.FreeWait;
+}
+
 void PacketRouter::openingCopy(TimePoint now, RememberedFlow &flow,
                                const PacketHead &head, const uint8_t *bytes,
                                size_t n, PacketSink &out) {
   flow.LastSeen = now;
-  flow.Copy = static_cast<uint8_t>(std::min<uint32_t>(
-      std::max<uint32_t>(flow.Copy, head.Acknowledged), UINT8_MAX));
+  flow.Copy = std::max(flow.Copy, head.Copy);
   if (flow.Stage != FlowStage::Opening) {
     forward(flow.Home, bytes, n, out);
     return;
@@ -158,10 +203,11 @@
   const ServiceId *service = serviceFor(head.Flow);
   if (!service)
     return false;
-  std::optional<ServerIndex> to = choose(now, *service, flow);
+  auto to = choose(now, *service, flow);
   if (!to)
     return false;
-  sendOpening(now, flow, *to, head, bytes, n, out);
+  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
   return true;
 }
 
@@ -184,17 +230,14 @@
   WaitingOpening waiting;
   waiting.Due = now + Timeout.value();
   waiting.SentAt = now;
-  waiting.Head = head;
-  if (n <= MaxOpeningBytes) {
-    waiting.Bytes = n;
-    std::memcpy(waiting.Packet.data(), bytes, n);
-  }
+  if (!waiting.Opening.keep(head, bytes, n))
+    waiting.Opening.Head = head;
   Waiting.push_back(waiting);
 }
 
-std::optional<ServerIndex> PacketRouter::choose(TimePoint now,
-                                                const ServiceId &service,
-                                                const RememberedFlow &flow) {
+std::optional<OpeningChoice> PacketRouter::choose(TimePoint now,
+                                                  const ServiceId &service,
+                                                  const RememberedFlow &flow) {
   TabledService *of = Servers.service(service);
   if (!of)
     return std::nullopt;
@@ -219,10 +262,7 @@
     candidate.Cold = now < server.Is.ColdUntil;
     Candidates.push_back(candidate);
   }
-  auto best = chooseForOpening(Candidates, of->Load, Random);
-  if (!best)
-    return std::nullopt;
-  return static_cast<ServerIndex>(*best);
+  return chooseForOpening(Candidates, of->Load, Random);
 }
 
 PacketReason PacketRouter::resolve(const PacketHead &head,
@@ -357,6 +397,7 @@
     if (stillWaits(waiting))
       openingDue(now, waiting, out);
   }
+  goOnWithHeld(now, out);
   Duration openKeep = Settings.OpenKeep;
   if (Routes && Routes->IdleTimeout > Duration{0})
     openKeep = std::min(openKeep, Routes->IdleTimeout);
@@ -377,7 +418,7 @@
 }
 
 bool PacketRouter::stillWaits(const WaitingOpening &waiting) {
-  const RememberedFlow *flow = Flows.find(waiting.Head.Flow);
+  const RememberedFlow *flow = Flows.find(waiting.Opening.Head.Flow);
   // Else it was answered, ended, or sent again since: a later one waits for it.
   return flow && flow->Stage == FlowStage::Opening &&
          flow->LastSent == waiting.SentAt;
@@ -385,27 +426,32 @@
 
 void PacketRouter::openingDue(TimePoint now, const WaitingOpening &waiting,
                               PacketSink &out) {
-  RememberedFlow *flow = Flows.find(waiting.Head.Flow);
+  RememberedFlow *flow = Flows.find(waiting.Opening.Head.Flow);
   ServerIndex server = flow->Home;
   if (Silence.unanswered(now, server, waiting.SentAt)) {
     out.tell(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer,
-                     waiting.Head.Flow, server));
+                     waiting.Opening.Head.Flow, server));
     reshare();
   }
-  bool sent = waiting.Bytes > 0 &&
-              sendElsewhere(now, *flow, waiting.Head, waiting.Packet.data(),
-                            waiting.Bytes, out);
+  const KeptOpening &opening = waiting.Opening;
+  bool sent = opening.Bytes > 0 &&
+              sendElsewhere(now, *flow, opening.Head, opening.Packet.data(),
+                            opening.Bytes, out);
   if (sent || flow->Copy < LastCopy)
     return;
   // The caller sends no more copies, and whoever could answer had its time: a
   // reset lets it try anew at once.
-  refuse(waiting.Head, PacketReason::NoAnswer, out);
+  refuse(waiting.Opening.Head, PacketReason::NoAnswer, out);
   release(*flow);
   flow->Stage = FlowStage::Ending;
 }
 
 TimePoint PacketRouter::nextWakeup() const {
   TimePoint next = Waiting.empty() ? Never : Waiting.front().Due;
+  // Slots get free as packets come in, and each packet is followed by a tick;
+  // what waits for news goes on when they come.
+  if (!Held.empty() && Routes)
+    next = std::min(next, Held.front().Until);
   return std::min(next, Silence.nextDue());
 }
 
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -1,7 +1,6 @@
 #ifndef BALSAMRACK_PACKETS_PACKETROUTER_H
 #define BALSAMRACK_PACKETS_PACKETROUTER_H
 
-#include <array>
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -12,6 +11,7 @@
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Decisions/SilenceDetector.h"
 #include "Balsamrack/Packets/FlowMemory.h"
+#include "Balsamrack/Packets/HeldOpenings.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
@@ -21,7 +21,11 @@
 
 /// Limits of the packet router.
 struct PacketRouterSettings {
-  DomainId Domain;                 ///< This daemon's failure domain.
+  DomainId Domain;            ///< This daemon's failure domain.
+  Duration NewsWait{300'000}; ///< An opening waits so long at most for the
+                              ///< first news after a start or a pause: callers
+                              ///< send a copy after 200 ms.
+  double FreeWait = 0.1; ///< A server with less expected wait has a free slot.
   size_t MaxFlows = 100'000;       ///< Flows remembered, some 100 bytes each.
   Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
                                    ///< forgotten; callers give up after 1.4 s.
@@ -60,7 +64,7 @@
   /// There are \p daemons in the fleet, and this one is number \p self in the
   /// order of failure domain and id. Precondition: self < daemons.
   void setFleet(size_t daemons, size_t self);
-  /// What is held may be old: openings are not placed before setFresh().
+  /// What is held may be old: openings wait for setFresh().
   void setStale() { Stale = true; }
   /// What is held is new again.
   void setFresh() { Stale = false; }
@@ -92,21 +96,21 @@
   Duration openingTimeout() const { return Timeout.value(); }
 
 private:
-  /// Longest opening that is kept for another server, in bytes: openings carry
-  /// no data.
-  static constexpr size_t MaxOpeningBytes = 48;
-
   /// An opening that waits for its answer.
   struct WaitingOpening {
-    TimePoint Due;    ///< When to try another server.
-    TimePoint SentAt; ///< When the last copy was sent on.
-    PacketHead Head;  ///< Of the opening.
-    size_t Bytes = 0; ///< Length of Packet.
-    std::array<uint8_t, MaxOpeningBytes> Packet{}; ///< As it came.
+    TimePoint Due;       ///< When to try another server.
+    TimePoint SentAt;    ///< When the last copy was sent on.
+    KeptOpening Opening; ///< What was sent; empty when it was too long.
   };
 
   void opening(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                size_t n, PacketSink &out);
+  bool holdBack(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+                size_t n, Duration most);
+  void place(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+             size_t n, bool mayWait, PacketSink &out);
+  void goOnWithHeld(TimePoint now, PacketSink &out);
+  bool slotIsFree(TimePoint now, const ServiceId &service);
   void openingCopy(TimePoint now, RememberedFlow &flow, const PacketHead &head,
                    const uint8_t *bytes, size_t n, PacketSink &out);
   void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
@@ -124,8 +128,8 @@
   void sendOpening(TimePoint now, RememberedFlow &flow, ServerIndex to,
                    const PacketHead &head, const uint8_t *bytes, size_t n,
                    PacketSink &out);
-  std::optional<ServerIndex> choose(TimePoint now, const ServiceId &service,
-                                    const RememberedFlow &flow);
+  std::optional<OpeningChoice> choose(TimePoint now, const ServiceId &service,
+                                      const RememberedFlow &flow);
   const ServiceId *serviceFor(const FlowKey &key) const;
   PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
   void forward(ServerIndex to, const uint8_t *bytes, size_t n,
@@ -145,6 +149,7 @@
   FlowMemory Flows;                           ///< Flows of this daemon.
   SilenceDetector Silence;                    ///< Who does not answer.
   OpeningTimeout Timeout;                     ///< For openings.
+  HeldOpenings Held;                          ///< Not placed yet.
   std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
   std::vector<OpeningCandidate> Candidates;   ///< Reused between choices.
   size_t Daemons = 1;                         ///< Of the fleet.
--- /dev/null
+++ b/UnitTests/Packets/FlowMemoryTest.cpp
@@ -0,0 +1,70 @@
+#include "Balsamrack/Packets/FlowMemory.h"
+
+#include <gtest/gtest.h>
+
+namespace balsamrack {
+namespace {
+
+constexpr TimePoint Start{Duration(1'000'000)};
+constexpr Duration Quiet{2'000'000};
+constexpr Duration OpenKeep{20'000'000};
+constexpr Duration OpeningKeep{2'000'000};
+
+FlowKey key(uint16_t port) {
+  return {{0x0a000001, port}, {0xc6120001, 443}};
+}
+
+Duration keepOf(const RememberedFlow &flow) {
+  return flow.Stage == FlowStage::Open ? OpenKeep : OpeningKeep;
+}
+
+// Story: a caller vanishes in the middle of an open flow, which is then kept
+// for twenty seconds. A second later an opening gets no answer. Its slot of the
+// server was counted as taken until the first flow's time was over, so that new
+// flows avoided a server that stood idle.
+// Cause: looks at flows waited in the order in which they were planned, not in
+// the order of their times.
+TEST(FlowMemoryTest, ALongWaitHoldsUpNoOtherFlow) {
+  FlowMemory memory(100);
+  RememberedFlow *open = memory.add(Start, key(1));
+  open->Stage = FlowStage::Open;
+  int quiet = 0;
+  auto onQuiet = [&](RememberedFlow &flow) {
+    quiet += flow.Stage == FlowStage::Opening ? 1 : 0;
+  };
+  for (TimePoint now = Start; now < Start + Duration(3'000'000);
+       now += Duration(100'000)) {
+    memory.sweep(now, Quiet, keepOf, onQuiet);
+    if (now == Start + Duration(2'500'000))
+      memory.add(now, key(2));
+  }
+  for (TimePoint now = Start + Duration(3'000'000);
+       now < Start + Duration(6'000'000); now += Duration(100'000))
+    memory.sweep(now, Quiet, keepOf, onQuiet);
+  EXPECT_EQ(quiet, 1);
+  EXPECT_EQ(memory.find(key(2)), nullptr);
+  EXPECT_NE(memory.find(key(1)), nullptr);
+}
+
+TEST(FlowMemoryTest, TakesNoMoreThanItsBound) {
+  FlowMemory memory(2);
+  EXPECT_NE(memory.add(Start, key(1)), nullptr);
+  EXPECT_NE(memory.add(Start, key(2)), nullptr);
+  EXPECT_EQ(memory.add(Start, key(3)), nullptr);
+}
+
+TEST(FlowMemoryTest, AFlowThatSpeaksStays) {
+  FlowMemory memory(10);
+  memory.add(Start, key(1))->Stage = FlowStage::Open;
+  int quiet = 0;
+  for (TimePoint now = Start; now < Start + Duration(60'000'000);
+       now += Duration(500'000)) {
+    memory.find(key(1))->LastSeen = now;
+    memory.sweep(now, Quiet, keepOf, [&](RememberedFlow &) { ++quiet; });
+    ASSERT_NE(memory.find(key(1)), nullptr);
+  }
+  EXPECT_EQ(quiet, 0);
+}
+
+} // namespace
+} // namespace balsamrack
