Count callers that are gone for a few flow times only

Cause: a caller whose time is over goes without a word, and its flow counted as in progress at its server for two seconds. After a loss of power most callers' attempts end so, and the counts by which new flows are placed said little. Change: quiet for eight mean flow times of the service (0.3 to 2 s); openings that nobody answered are not counted.

--- a/Balsamrack/Packets/FlowMemory.cpp
+++ b/Balsamrack/Packets/FlowMemory.cpp
@@ -25,7 +25,7 @@
   return &flow;
 }
 
-void FlowMemory::sweep(TimePoint now, Duration quiet, const KeepFor &keep,
+void FlowMemory::sweep(TimePoint now, const SpanOf &quiet, const SpanOf &keep,
                        const OnQuiet &onQuiet) {
   while (!Turns.empty() && Turns.top().At <= now) {
     FlowKey key = Turns.top().Key;
@@ -35,13 +35,14 @@
       continue;
     Duration silent = now - it->second.LastSeen;
     bool over = silent >= keep(it->second);
-    if (over || silent >= quiet)
+    Duration quietSpan = quiet(it->second);
+    if (over || silent >= quietSpan)
       onQuiet(it->second);
     if (over) {
       Flows.erase(it);
       continue;
     }
-    Duration next = silent >= quiet ? keep(it->second) : quiet;
+    Duration next = silent >= quietSpan ? keep(it->second) : quietSpan;
     Turns.push({std::max(it->second.LastSeen + next, now + TurnPeriod), key});
   }
 }
--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -63,13 +63,13 @@
   /// Number of flows.
   size_t size() const { return Flows.size(); }
 
-  /// Says how long a flow may stay without a packet.
-  using KeepFor = std::function<Duration(const RememberedFlow &)>;
+  /// Says how long a flow may be without a packet.
+  using SpanOf = std::function<Duration(const RememberedFlow &)>;
   /// Told of each flow before it is forgotten, or whose quiet time is over.
   using OnQuiet = std::function<void(RememberedFlow &)>;
   /// Looks at the flows whose turn it is: calls \p onQuiet for each that had no
-  /// packet for \p quiet, and forgets those that were silent for \p keep.
-  void sweep(TimePoint now, Duration quiet, const KeepFor &keep,
+  /// packet for \p quiet of it, and forgets those that were silent for \p keep.
+  void sweep(TimePoint now, const SpanOf &quiet, const SpanOf &keep,
              const OnQuiet &onQuiet);
 
 private:
@@ -80,7 +80,7 @@
     friend bool operator>(const Turn &a, const Turn &b) { return a.At > b.At; }
   };
   /// Shortest time between two looks at a flow.
-  static constexpr Duration TurnPeriod{500'000};
+  static constexpr Duration TurnPeriod{100'000};
 
   const size_t Most; ///< Bound.
   absl::flat_hash_map<FlowKey, RememberedFlow> Flows;
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -323,6 +323,8 @@
   bool ends = head.Ends || head.Resets;
   if (ends && flow->Stage != FlowStage::Ending) {
     release(*flow);
+    if (flow->Stage == FlowStage::Open && head.Ends)
+      Servers.serviceOf(flow->Home).flowEnded(now - flow->OpenedAt);
     flow->Stage = FlowStage::Ending;
     PacketEvent event = eventOf(head.Resets ? PacketEventKind::Abandoned
                                             : PacketEventKind::Ended,
@@ -402,7 +404,10 @@
   if (Routes && Routes->IdleTimeout > Duration{0})
     openKeep = std::min(openKeep, Routes->IdleTimeout);
   Flows.sweep(
-      now, Settings.ProgressQuiet,
+      now,
+      [this](const RememberedFlow &flow) {
+        return Servers.serviceOf(flow.Home).quietLimit();
+      },
       [&](const RememberedFlow &flow) {
         switch (flow.Stage) {
         case FlowStage::Opening:
@@ -437,12 +442,15 @@
   bool sent = opening.Bytes > 0 &&
               sendElsewhere(now, *flow, opening.Head, opening.Packet.data(),
                             opening.Bytes, out);
-  if (sent || flow->Copy < LastCopy)
+  if (sent)
+    return;
+  // It may have gone on through another daemon, and else nobody works on it.
+  release(*flow);
+  if (flow->Copy < LastCopy)
     return;
   // The caller sends no more copies, and whoever could answer had its time: a
   // reset lets it try anew at once.
   refuse(waiting.Opening.Head, PacketReason::NoAnswer, out);
-  release(*flow);
   flow->Stage = FlowStage::Ending;
 }
 
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -33,9 +33,7 @@
                                    ///< retransmissions wait 1.6 s at most.
   Duration OpenKeep{20'000'000}; ///< A silent open flow is forgotten; its token
                                  ///< still names its server.
-  Duration ProgressQuiet{2'000'000}; ///< A flow without packets for so long is
-                                     ///< not counted as in progress any more.
-  SilenceSettings Silence;           ///< Of the silence detector.
+  SilenceSettings Silence;       ///< Of the silence detector.
 };
 
 /// A server that should be asked by a connection attempt.
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Packets/ServerTable.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -10,9 +11,29 @@
 /// The load of a site moves within seconds; single flows last some tens of
 /// milliseconds.
 constexpr double SmoothingMicros = 1'000'000;
+/// A flow's time moves the mean by this part.
+constexpr int FlowTimeWeight = 32;
+/// The longest work is some six times the mean, and waits in a full queue.
+constexpr int QuietFlowTimes = 8;
+/// A request that was lost is sent again after 200 ms.
+constexpr Duration ShortestQuiet{300'000};
+constexpr Duration LongestQuiet{2'000'000};
 
 } // namespace
 
+Duration TabledService::quietLimit() const {
+  if (FlowTime == Duration{0})
+    return LongestQuiet;
+  return std::clamp(FlowTime * QuietFlowTimes, ShortestQuiet, LongestQuiet);
+}
+
+void TabledService::flowEnded(Duration took) {
+  if (FlowTime == Duration{0})
+    FlowTime = took;
+  else
+    FlowTime += (took - FlowTime) / FlowTimeWeight;
+}
+
 void TabledService::smooth(TimePoint now) {
   double sample = Share > 0 ? InProgress / Share : 0;
   auto since = static_cast<double>((now - LoadAt).count());
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -27,6 +27,15 @@
   double Share = 0;        ///< Slots of this daemon, over all its servers.
   double Load = 0;         ///< InProgress by Share, smoothed.
   TimePoint LoadAt;        ///< When Load was last moved.
+  Duration FlowTime{0};    ///< Of a flow, smoothed; zero: none has ended yet.
+
+  /// Flows of the service without a packet for so long are not in progress any
+  /// more: eight times the usual time of a flow, within bounds. Callers whose
+  /// time is over go silently, and would else be counted as load; after a loss
+  /// of all daemons they are the most.
+  Duration quietLimit() const;
+  /// A flow has ended after \p took.
+  void flowEnded(Duration took);
 
   /// Moves Load towards the present counts. Load of others is reckoned to be
   /// the same: the fabric spreads flows evenly.
@@ -66,6 +75,10 @@
   /// \p of. Precondition: both lists are as long.
   void setShares(TabledService &service, const std::vector<ServerIndex> &of,
                  const std::vector<double> &shares);
+  /// The service of the server at \p index.
+  TabledService &serviceOf(ServerIndex index) {
+    return Services[Servers[index].Is.What->Server.Service];
+  }
   /// The services, for setShares().
   absl::flat_hash_map<ServiceId, TabledService> &servicesForShares() {
     return Services;
--- a/UnitTests/Packets/FlowMemoryTest.cpp
+++ b/UnitTests/Packets/FlowMemoryTest.cpp
@@ -6,13 +6,12 @@
 namespace {
 
 constexpr TimePoint Start{Duration(1'000'000)};
-constexpr Duration Quiet{2'000'000};
 constexpr Duration OpenKeep{20'000'000};
 constexpr Duration OpeningKeep{2'000'000};
 
-FlowKey key(uint16_t port) {
-  return {{0x0a000001, port}, {0xc6120001, 443}};
-}
+FlowKey key(uint16_t port) { return {{0x0a000001, port}, {0xc6120001, 443}}; }
+
+Duration quietOf(const RememberedFlow &) { return Duration(2'000'000); }
 
 Duration keepOf(const RememberedFlow &flow) {
   return flow.Stage == FlowStage::Open ? OpenKeep : OpeningKeep;
@@ -34,13 +33,13 @@
   };
   for (TimePoint now = Start; now < Start + Duration(3'000'000);
        now += Duration(100'000)) {
-    memory.sweep(now, Quiet, keepOf, onQuiet);
+    memory.sweep(now, quietOf, keepOf, onQuiet);
     if (now == Start + Duration(2'500'000))
       memory.add(now, key(2));
   }
   for (TimePoint now = Start + Duration(3'000'000);
        now < Start + Duration(6'000'000); now += Duration(100'000))
-    memory.sweep(now, Quiet, keepOf, onQuiet);
+    memory.sweep(now, quietOf, keepOf, onQuiet);
   EXPECT_EQ(quiet, 1);
   EXPECT_EQ(memory.find(key(2)), nullptr);
   EXPECT_NE(memory.find(key(1)), nullptr);
@@ -60,7 +59,7 @@
   for (TimePoint now = Start; now < Start + Duration(60'000'000);
        now += Duration(500'000)) {
     memory.find(key(1))->LastSeen = now;
-    memory.sweep(now, Quiet, keepOf, [&](RememberedFlow &) { ++quiet; });
+    memory.sweep(now, quietOf, keepOf, [&](RememberedFlow &) { ++quiet; });
     ASSERT_NE(memory.find(key(1)), nullptr);
   }
   EXPECT_EQ(quiet, 0);
