Close the way from late answers to a daemon that has ended; signals by a pipe

Cause: an answer of the publishing service could come after the part that asked for it had ended, and was handed to it all the same. Its queue is now shared and closed (TaskQueue). Signals were waited for with sigtimedwait; a process was seen to end without its last lines.

--- /dev/null
+++ b/Balsamrack/Core/SignalPipe.cpp
@@ -0,0 +1,73 @@
+#include "Balsamrack/Core/SignalPipe.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <cstdint>
+
+namespace balsamrack {
+
+namespace {
+
+constexpr int64_t MicrosPerMilli = 1000;
+
+/// Where the handler writes to; -1: nowhere.
+std::atomic<int> HandlerEnd{-1};
+
+extern "C" void writeSignal(int signal) {
+  int saved = errno;
+  auto byte = static_cast<uint8_t>(signal);
+  // A full pipe holds signals enough to act on.
+  (void)!write(HandlerEnd.load(), &byte, 1);
+  errno = saved;
+}
+
+/// Lets the calling thread have the signals only while it waits for them, so
+/// that no other system call of it is interrupted.
+void setBlocked(bool blocked, const sigset_t &signals) {
+  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
+sigset_t TakenOver; ///< Set once by create().
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<SignalPipe>>
+SignalPipe::create(std::initializer_list<int> signals) {
+  int ends[2];
+  if (HandlerEnd.load() >= 0 || pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0)
+    return absl::InternalError("cannot take signals over");
+  HandlerEnd = ends[1];
+  sigemptyset(&TakenOver);
+  struct sigaction action {};
+  action.sa_handler = writeSignal;
+  for (int it : signals) {
+    sigaddset(&TakenOver, it);
+    sigaction(it, &action, nullptr);
+  }
+  setBlocked(true, TakenOver);
+  return std::unique_ptr<SignalPipe>(new SignalPipe(ends[0], ends[1]));
+}
+
+SignalPipe::~SignalPipe() {
+  HandlerEnd = -1;
+  close(ReadEnd);
+  close(WriteEnd);
+}
+
+int SignalPipe::wait(Duration most) {
+  pollfd polled{ReadEnd, POLLIN, 0};
+  setBlocked(false, TakenOver);
+  // A signal that comes right before the wait has written its byte already.
+  poll(&polled, 1, static_cast<int>(most.count() / MicrosPerMilli));
+  setBlocked(true, TakenOver);
+  uint8_t signal = 0;
+  return read(ReadEnd, &signal, 1) == 1 ? signal : 0;
+}
+
+} // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Core/SignalPipe.h
@@ -0,0 +1,39 @@
+#ifndef BALSAMRACK_CORE_SIGNALPIPE_H
+#define BALSAMRACK_CORE_SIGNALPIPE_H
+
+#include <initializer_list>
+#include <memory>
+
+#include "Balsamrack/Core/Time.h"
+#include "absl/status/statusor.h"
+
+namespace balsamrack {
+
+/// Turns signals into bytes of a pipe, so that one that comes while its thread
+/// is busy is found by the next wait. One object a process. Not thread-safe.
+class SignalPipe {
+public:
+  /// Takes \p signals over for the whole process. To be called before any other
+  /// thread is started: threads that are started afterwards don't get them.
+  /// Error kInternal when the system refuses, or when there is one already.
+  static absl::StatusOr<std::unique_ptr<SignalPipe>>
+  create(std::initializer_list<int> signals);
+  SignalPipe(const SignalPipe &) = delete;
+  SignalPipe &operator=(const SignalPipe &) = delete;
+  ~SignalPipe();
+
+  /// The next signal, or zero when none comes within \p most. Must be called on
+  /// the thread that called create().
+  int wait(Duration most);
+
+private:
+  SignalPipe(int readEnd, int writeEnd)
+      : ReadEnd(readEnd), WriteEnd(writeEnd) {}
+
+  const int ReadEnd;
+  const int WriteEnd;
+};
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_CORE_SIGNALPIPE_H
--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -1,8 +1,6 @@
 #include "Balsamrack/Daemon/NewsPart.h"
 
 #include <poll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -58,13 +56,10 @@
                    PacketTelemetry &telemetry, NewsListener &listener)
     : Self(self), Run(run), Random(seed), Peers(std::move(peers)),
       Source(source), Time(clock), Watch(telemetry), Listener(listener),
-      Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      Tasks(std::make_shared<TaskQueue>()),
       Exchange(NewsSettings(), self, Random) {}
 
-NewsPart::~NewsPart() {
-  stop();
-  close(Wake);
-}
+NewsPart::~NewsPart() { stop(); }
 
 absl::Status NewsPart::startMembership() {
   auto members =
@@ -78,41 +73,33 @@
 void NewsPart::stop() {
   if (Stopping.exchange(true))
     return;
-  post([](TimePoint) {});
+  Tasks->post([](TimePoint) {});
   if (Loop.joinable())
     Loop.join();
-}
-
-void NewsPart::post(Task task) {
-  {
-    std::lock_guard<std::mutex> hold(Lock);
-    Tasks.push_back(std::move(task));
-  }
-  uint64_t one = 1;
-  // A full counter wakes the thread as well.
-  (void)!write(Wake, &one, sizeof one);
+  Tasks->close();
 }
 
 void NewsPart::addSeeds(const std::vector<EntryVm> &seeds) {
-  post([this, seeds](TimePoint now) {
+  Tasks->post([this, seeds](TimePoint now) {
     Seeds = seeds;
     stepMembership(now, balsamrack::Seeds{seeds});
   });
 }
 
 void NewsPart::woke() {
-  post([this](TimePoint now) {
+  Tasks->post([this](TimePoint now) {
     AwaitsNews = true;
     onNews(now, Exchange.woke(now));
   });
 }
 
 void NewsPart::leave() {
-  post([this](TimePoint now) { stepMembership(now, MembershipLeaving{}); });
+  Tasks->post(
+      [this](TimePoint now) { stepMembership(now, MembershipLeaving{}); });
 }
 
 void NewsPart::wait() {
-  pollfd polled[] = {{Peers->fd(), POLLIN, 0}, {Wake, POLLIN, 0}};
+  pollfd polled[] = {{Peers->fd(), POLLIN, 0}, {Tasks->fd(), POLLIN, 0}};
   TimePoint now = Time.now();
   TimePoint until =
       std::min({now + MostWait, Exchange.nextWakeup(), Book.nextChange()});
@@ -121,19 +108,6 @@
   int64_t micros = std::max<int64_t>(0, (until - now).count());
   poll(polled, 2,
        static_cast<int>((micros + MicrosPerMilli - 1) / MicrosPerMilli));
-  uint64_t count = 0;
-  // Nothing there is as good.
-  (void)!read(Wake, &count, sizeof count);
-}
-
-void NewsPart::runTasks(TimePoint now) {
-  std::vector<Task> tasks;
-  {
-    std::lock_guard<std::mutex> hold(Lock);
-    tasks = std::exchange(Tasks, {});
-  }
-  for (const Task &task : tasks)
-    task(now);
 }
 
 void NewsPart::run() {
@@ -141,7 +115,8 @@
   membersChanged();
   while (!Stopping) {
     TimePoint now = Time.now();
-    runTasks(now);
+    for (const TaskQueue::Task &task : Tasks->take())
+      task(now);
     Peers->receive([&](const Address &from, PeerMessage message) {
       received(now, from, std::move(message));
     });
@@ -215,7 +190,7 @@
     // day, from which the number was taken, has gone back. There is one
     // process at an address, so this one takes the next number.
     Incarnation next{later->News.Run.Value + 1};
-    post([this, next](TimePoint at) { restartAs(at, next); });
+    Tasks->post([this, next](TimePoint at) { restartAs(at, next); });
   }
   (void)now;
 }
@@ -281,14 +256,23 @@
 }
 
 void NewsPart::startRead(const PublishedRead &read) {
-  Source.read(read, [this, read](absl::StatusOr<PublishedChanges> result) {
-    post([this, read, result = std::move(result)](TimePoint now) {
-      Watch.readEnded(read.Section, read.After == Revision{}, result.status());
-      if (result.ok())
-        newsCame();
-      onNews(now, Exchange.readEnded(now, read, result));
+  // The answer may come after this part has ended; then the queue is closed,
+  // and the task, with its pointer to this part, is never run.
+  auto done = [this, read,
+               tasks = Tasks](absl::StatusOr<PublishedChanges> result) {
+    tasks->post([this, read, result = std::move(result)](TimePoint now) {
+      readEnded(now, read, result);
     });
-  });
+  };
+  Source.read(read, std::move(done));
+}
+
+void NewsPart::readEnded(TimePoint now, const PublishedRead &read,
+                         const absl::StatusOr<PublishedChanges> &result) {
+  Watch.readEnded(read.Section, read.After == Revision{}, result.status());
+  if (result.ok())
+    newsCame();
+  onNews(now, Exchange.readEnded(now, read, result));
 }
 
 void NewsPart::logChange(const PublishedObject &object, const VmId &from) {
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -2,14 +2,13 @@
 #define BALSAMRACK_DAEMON_NEWSPART_H
 
 #include <atomic>
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <thread>
 #include <vector>
 
 #include "Balsamrack/Core/Random.h"
 #include "Balsamrack/Daemon/PacketTelemetry.h"
+#include "Balsamrack/Daemon/TaskQueue.h"
 #include "Balsamrack/Membership/Membership.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Peers/DatagramPeers.h"
@@ -64,18 +63,17 @@
            const Clock &clock, PacketTelemetry &telemetry,
            NewsListener &listener);
 
-  using Task = std::function<void(TimePoint)>;
   absl::Status startMembership();
-  void post(Task task);
   void run();
   void wait();
-  void runTasks(TimePoint now);
   void received(TimePoint now, const Address &from, PeerMessage message);
   void stepMembership(TimePoint now, const MembershipEvent &event);
   void onMembership(TimePoint now, const MembershipAction &action);
   void restartAs(TimePoint now, Incarnation run);
   void onNews(TimePoint now, const std::vector<NewsAction> &actions);
   void startRead(const PublishedRead &read);
+  void readEnded(TimePoint now, const PublishedRead &read,
+                 const absl::StatusOr<PublishedChanges> &result);
   void newsChanged(TimePoint now, const NewsChanged &changed);
   void logChange(const PublishedObject &object, const VmId &from);
   void membersChanged();
@@ -93,7 +91,7 @@
   const Clock &Time;
   PacketTelemetry &Watch;
   NewsListener &Listener;
-  const int Wake; ///< Ends the thread's wait.
+  const std::shared_ptr<TaskQueue> Tasks; ///< For the thread.
 
   // The thread's own.
   std::vector<EntryVm> Seeds;
@@ -105,8 +103,6 @@
   TimePoint NextFigures;
   size_t LivePeers = 0;
 
-  std::mutex Lock; ///< Guards Tasks.
-  std::vector<Task> Tasks;
   std::atomic<bool> Complete{false};
   std::atomic<bool> Stopping{false};
   std::thread Loop;
--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -146,6 +146,7 @@
 
 void PacketDaemon::shutDown() {
   Leaving = true;
+  Watch.log(LogLine(Part::Daemon, Severity::Info, "leaving"));
   News->leave();
   TimePoint began = Given.Time.now();
   TimePoint last = began + std::max(Settings.Grace - EndMargin, Duration{0});
--- /dev/null
+++ b/Balsamrack/Daemon/TaskQueue.cpp
@@ -0,0 +1,41 @@
+#include "Balsamrack/Daemon/TaskQueue.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <utility>
+
+namespace balsamrack {
+
+TaskQueue::TaskQueue() : Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+TaskQueue::~TaskQueue() { ::close(Wake); }
+
+void TaskQueue::post(Task task) {
+  {
+    std::lock_guard<std::mutex> hold(Lock);
+    if (Closed)
+      return;
+    Tasks.push_back(std::move(task));
+  }
+  uint64_t one = 1;
+  // A full counter wakes the thread as well.
+  (void)!write(Wake, &one, sizeof one);
+}
+
+std::vector<TaskQueue::Task> TaskQueue::take() {
+  uint64_t count = 0;
+  // Nothing there is as good.
+  (void)!read(Wake, &count, sizeof count);
+  std::lock_guard<std::mutex> hold(Lock);
+  return std::exchange(Tasks, {});
+}
+
+void TaskQueue::close() {
+  std::lock_guard<std::mutex> hold(Lock);
+  Closed = true;
+  Tasks.clear();
+}
+
+} // namespace balsamrack
--- a/Programs/balsamrack-packetd.cpp
+++ b/Programs/balsamrack-packetd.cpp
@@ -2,13 +2,13 @@
 // main over the library and the platform's folder.
 
 #include <csignal>
-#include <ctime>
 #include <iostream>
 #include <memory>
 
 #include <cxxopts.hpp>
 
 #include "Balsamrack/Core/Errors.h"
+#include "Balsamrack/Core/SignalPipe.h"
 #include "Balsamrack/Daemon/PacketDaemon.h"
 #include "platform/EchoPackets.h"
 #include "platform/StoreReader.h"
@@ -22,7 +22,7 @@
 constexpr int BadSettings = 2;
 
 /// The settings file may change without a signal; it is looked at so often.
-constexpr timespec LookPeriod{1, 0};
+constexpr Duration LookPeriod{1'000'000};
 constexpr int StandardOutput = 1;
 
 cxxopts::Options options() {
@@ -90,16 +90,9 @@
   PacketSettings Values;
 };
 
-/// Waits for a signal or for the next look at the settings; zero for the
-/// latter.
-int nextSignal(const sigset_t &signals) {
-  int signal = sigtimedwait(&signals, nullptr, &LookPeriod);
-  return signal < 0 ? 0 : signal;
-}
-
 bool asksForEnd(int signal) { return signal == SIGTERM || signal == SIGINT; }
 
-int serve(const std::string &path, const sigset_t &signals) {
+int serve(const std::string &path, SignalPipe &signals) {
   SystemClock clock;
   auto log = EventLog::create(EventLogSettings(), StandardOutput, clock);
   log->write(LogLine(Part::Daemon, Severity::Info, "started")
@@ -108,7 +101,7 @@
   // file again.
   SettingsFile file(path, *log);
   while (!file.look())
-    if (asksForEnd(nextSignal(signals)))
+    if (asksForEnd(signals.wait(LookPeriod)))
       return Good;
   const PacketSettings settings = file.values();
   platform::EchoPackets codec;
@@ -122,7 +115,7 @@
     std::cerr << "balsamrack-packetd: " << describe(daemon.status()) << "\n";
     return Failed;
   }
-  for (int signal = 0; !asksForEnd(signal); signal = nextSignal(signals))
+  for (int signal = 0; !asksForEnd(signal); signal = signals.wait(LookPeriod))
     if (file.look())
       (*daemon)->reload(file.values());
   (*daemon)->shutDown();
@@ -166,14 +159,13 @@
   if (parsed.count("check-settings"))
     return checkSettings(path);
 
-  // All threads inherit the mask, so that only the main thread sees these.
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (int it : {SIGTERM, SIGINT, SIGHUP})
-    sigaddset(&signals, it);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  auto signals = SignalPipe::create({SIGTERM, SIGINT, SIGHUP});
+  if (!signals.ok()) {
+    std::cerr << "balsamrack-packetd: " << describe(signals.status()) << "\n";
+    return Failed;
+  }
   std::signal(SIGPIPE, SIG_IGN);
-  return serve(path, signals);
+  return serve(path, **signals);
 }
 
 } // namespace
