Play the packet carrier with real processes: store, servers and caller of the users' protocol

Change: stand-ins beside platform/ (a store with pages, watches, dropped history, refusals, silence; servers in datagram form; a caller with copies), and seven stories played with three daemons on loopback addresses.

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -88,10 +88,11 @@
   if (!news.ok())
     return news.status();
   News = *std::move(news);
-  auto ready = HttpListener::create(
-      portAt(Settings.Ready), [this](const std::string &, Message message) {
-        return answerReady(message);
-      });
+  auto ready =
+      HttpListener::create(portAt(Settings.Ready),
+                           [this](const std::string &, const Message &message) {
+                             return answerReady(message);
+                           });
   if (!ready.ok())
     return ready.status();
   ReadyPort = *std::move(ready);
--- /dev/null
+++ b/FailureTests/PacketFleetTest.cpp
@@ -0,0 +1,240 @@
+#include <atomic>
+#include <csignal>
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+#include "Balsamrack/Http/HttpClient.h"
+#include "Balsamrack/Packets/Packet.h"
+#include "FailureTests/Process.h"
+#include "absl/strings/str_cat.h"
+#include "platform/standins/StandInFlows.h"
+#include "platform/standins/StandInStore.h"
+
+namespace balsamrack {
+namespace {
+
+using platform::CallResult;
+using platform::StandInCaller;
+using platform::StandInServer;
+using platform::StandInStore;
+
+constexpr Duration Second{1'000'000};
+const Endpoint Booking{0xc6120001, 443}; // 198.18.0.1:443
+
+/// Real daemons of the packet carrier as processes on loopback addresses, with
+/// a store, four backend servers and a caller of the users' protocol.
+class PacketFleetTest : public testing::Test {
+protected:
+  static constexpr size_t Daemons = 3;
+  static constexpr size_t ServerCount = 4;
+
+  void SetUp() override {
+    Ports = {freePort(), freePort(), freePort(), freePort(), freePort()};
+    auto store = StandInStore::create({"127.0.0.1", Ports[0]});
+    ASSERT_TRUE(store.ok()) << store.status();
+    Store = *std::move(store);
+    for (size_t i = 1; i <= ServerCount; ++i) {
+      auto server = StandInServer::create(serverAt(i), i, Ports[1]);
+      ASSERT_TRUE(server.ok()) << server.status();
+      Servers.push_back(*std::move(server));
+      publishServer(i, "ready");
+    }
+    publishRoutes(1, {443});
+    for (size_t i = 0; i < Daemons; ++i)
+      startDaemon(i);
+    auto caller =
+        StandInCaller::create({"127.0.7.1", Ports[1]}, packetAddresses());
+    ASSERT_TRUE(caller.ok()) << caller.status();
+    Caller = *std::move(caller);
+    for (size_t i = 0; i < Daemons; ++i)
+      ASSERT_TRUE(awaitUntil(Second * 10, [&] { return isReady(i); }))
+          << "daemon " << i;
+  }
+
+  static std::string vmIp(size_t i) { return absl::StrCat("127.0.8.", i + 1); }
+  Address serverAt(size_t i) const {
+    return {absl::StrCat("127.0.9.", i), Ports[2]};
+  }
+  std::vector<Address> packetAddresses() const {
+    std::vector<Address> all;
+    for (size_t i = 0; i < Daemons; ++i)
+      all.push_back({vmIp(i), Ports[1]});
+    return all;
+  }
+  std::string settingsPath(size_t i) const {
+    return absl::StrCat(testing::TempDir(), "packetd-", Ports[0], "-", i,
+                        ".json");
+  }
+  void writeSettings(size_t i, const std::string &seeds) const {
+    std::ofstream(settingsPath(i)) << absl::StrCat(
+        R"({"vm":"vm-)", i, R"(","failure_domain":"d)", i % 2,
+        R"(","packets":{"listen":")", vmIp(i), ":", Ports[1],
+        R"("},"ready":{"listen":")", vmIp(i), ":", Ports[3],
+        R"(","path":"/-/ready"},"peers":{"listen":")", vmIp(i), ":", Ports[4],
+        R"(","seeds":[)", seeds, R"(]},"published":{"address":")",
+        Store->at().str(), R"("},"metrics":{"listen":")", vmIp(i), ":",
+        Ports[2], R"("},"shutdown":{"grace_s":6}})");
+  }
+  void startDaemon(size_t i) {
+    writeSettings(i, absl::StrCat("\"", vmIp(0), ":1\",\"", vmIp(1), ":1\""));
+    auto process =
+        Process::start("balsamrack-packetd", {"--settings", settingsPath(i)},
+                       settingsPath(i) + ".log");
+    ASSERT_TRUE(process.ok()) << process.status();
+    if (Processes.size() <= i)
+      Processes.resize(i + 1);
+    Processes[i] = *std::move(process);
+  }
+  void publishServer(size_t i, const std::string &state) {
+    Store->put(absl::StrCat("servers/i-", i),
+               absl::StrCat(R"({"service":"booking","address":")",
+                            serverAt(i).str(), R"(","zone":"d)", i % 2,
+                            R"(","version":"v1","slots":2,"state":")", state,
+                            R"(","coldLeftMs":0,"seq":1})"));
+  }
+  void publishRoutes(int version, const std::vector<int> &ports) {
+    std::string routes;
+    for (int port : ports)
+      absl::StrAppend(
+          &routes, routes.empty() ? "" : ",",
+          R"({"name":"r","host":"198.18.0.1","prefix":"/)", port,
+          R"(/","service":"booking","timeoutMs":1500,"sloMs":150})");
+    Store->put(
+        "op/config",
+        absl::StrCat(
+            R"({"version":)", version, R"(,"routes":[)", routes,
+            R"(],"services":[{"name":"booking","coldPerS":0.0}],"limits":{"idleTimeoutMs":15000}})"));
+  }
+  /// Asks as the fabric does.
+  bool isReady(size_t i) const;
+  CallResult::End call(int moveTo = -1) {
+    return Caller->call(Booking, moveTo).How;
+  }
+  std::string logOf(size_t i) const {
+    std::ifstream file(settingsPath(i) + ".log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  bool logHas(size_t i, const std::string &text) const {
+    return awaitUntil(Second * 5,
+                      [&] { return logOf(i).find(text) != std::string::npos; });
+  }
+
+  std::vector<uint16_t> Ports;
+  std::unique_ptr<StandInStore> Store;
+  std::vector<std::unique_ptr<StandInServer>> Servers;
+  std::vector<std::unique_ptr<Process>> Processes;
+  std::unique_ptr<StandInCaller> Caller;
+};
+
+bool PacketFleetTest::isReady(size_t i) const {
+  auto client = HttpClient::create();
+  HttpCall ask;
+  ask.To = {vmIp(i), Ports[3]};
+  ask.Content.Method = "GET";
+  ask.Content.Target = "/-/ready";
+  ask.Timeout = Second;
+  std::atomic<unsigned> status{0};
+  std::atomic<bool> done{false};
+  (*client)->start(ask, [&](const HttpCallResult &result) {
+    status = result.How == HttpCallEnd::Answered ? result.Content.Status : 0;
+    done = true;
+  });
+  awaitUntil(Second * 2, [&] { return done.load(); });
+  (*client)->stop();
+  return status == 200;
+}
+
+TEST_F(PacketFleetTest, ServesEveryFlowOnAQuietDay) {
+  for (int i = 0; i < 60; ++i)
+    EXPECT_EQ(call(i % 4 == 0 ? i : -1), CallResult::End::Answered) << i;
+  for (auto &server : Servers) {
+    EXPECT_EQ(server->misdirected(), 0U);
+    EXPECT_EQ(server->unknownFlows(), 0U);
+    EXPECT_GT(server->answered(), 0U);
+  }
+}
+
+// Story: a server goes dark while its entry still stands. Its callers get their
+// answers from others, within a fraction of the time of a caller's own copy.
+TEST_F(PacketFleetTest, ADarkServerCostsNoCallerItsAnswer) {
+  Servers[0]->setDark(true);
+  int late = 0;
+  for (int i = 0; i < 60; ++i) {
+    CallResult result = Caller->call(Booking);
+    EXPECT_EQ(result.How, CallResult::End::Answered) << i;
+    late += result.Took > Duration(190'000) ? 1 : 0;
+  }
+  EXPECT_LE(late, 3);
+}
+
+// Story: the store goes silent, then a daemon is killed and starts again. It
+// has to learn everything from its peers, and callers notice nothing.
+TEST_F(PacketFleetTest, AFreshDaemonLearnsFromPeersWhileTheStoreIsSilent) {
+  Store->setMode(StandInStore::Mode::Silent);
+  Processes[2]->signal(SIGKILL);
+  ASSERT_TRUE(Processes[2]->awaitEnd(Second * 5).ok());
+  startDaemon(2);
+  ASSERT_TRUE(awaitUntil(Second * 10, [&] { return isReady(2); }));
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(call(), CallResult::End::Answered) << i;
+}
+
+// Story: operators drop a route while the store turns everybody away but one.
+TEST_F(PacketFleetTest, ADroppedRouteIsRefusedEverywhereInTime) {
+  publishRoutes(2, {444});
+  ASSERT_TRUE(awaitUntil(Second * 3, [&] {
+    for (size_t i = 0; i < Daemons; ++i)
+      if (logOf(i).find("\"configuration\":2,\"routes\"") == std::string::npos)
+        return false;
+    return true;
+  }));
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(call(), CallResult::End::Reset);
+}
+
+// Story: a VM is stopped. The fabric still sends there for a second, and no
+// caller may lose an answer; then the process ends by itself, in time.
+TEST_F(PacketFleetTest, AStoppedDaemonServesUntilTheFabricHasLeft) {
+  Processes[0]->signal(SIGTERM);
+  ASSERT_TRUE(awaitUntil(Second, [&] { return !isReady(0); }));
+  Caller->setDaemons({packetAddresses()[0]});
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(call(), CallResult::End::Answered) << i;
+  Caller->setDaemons({packetAddresses()[1], packetAddresses()[2]});
+  auto code = Processes[0]->awaitEnd(Second * 6);
+  ASSERT_TRUE(code.ok()) << code.status();
+  EXPECT_EQ(*code, 0);
+  EXPECT_TRUE(logHas(0, "\"event\":\"stopped\""));
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(call(), CallResult::End::Answered) << i;
+}
+
+// Story: a settings file is broken and then mended while the daemon runs. It
+// says so in one line and goes on with the last good one.
+TEST_F(PacketFleetTest, ABrokenSettingsFileChangesNothing) {
+  std::ofstream(settingsPath(1)) << "{\"vm\": 7}";
+  Processes[1]->signal(SIGHUP);
+  EXPECT_TRUE(logHas(1, "\"event\":\"bad-settings\""));
+  EXPECT_TRUE(Processes[1]->running());
+  EXPECT_EQ(call(), CallResult::End::Answered);
+  writeSettings(1, absl::StrCat("\"", vmIp(2), ":1\""));
+  EXPECT_TRUE(logHas(1, "\"event\":\"reloaded\"")) << "without a signal";
+  EXPECT_EQ(call(), CallResult::End::Answered);
+}
+
+// Story: all daemons are killed at once, and start again.
+TEST_F(PacketFleetTest, AllDaemonsComeBackTogether) {
+  for (auto &process : Processes)
+    process->signal(SIGKILL);
+  for (size_t i = 0; i < Daemons; ++i) {
+    ASSERT_TRUE(Processes[i]->awaitEnd(Second * 5).ok());
+    startDaemon(i);
+  }
+  EXPECT_EQ(call(), CallResult::End::Answered);
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(call(), CallResult::End::Answered) << i;
+}
+
+} // namespace
+} // namespace balsamrack
