Test the packet daemon's life and settings; report unknown fields only where they are not allowed

Cause: with any fault in a settings file all unknown fields were called faults too, also where the schema lets them stand; found by the new settings tests. Change: as the schema says.

--- a/Balsamrack/Settings/SchemaCheck.cpp
+++ b/Balsamrack/Settings/SchemaCheck.cpp
@@ -82,8 +82,9 @@
 /// Faults of the members of the object at \p place: unknown and missing ones.
 void addMemberFaults(const Place &place, std::vector<SettingsFault> &faults) {
   const json &known = (*place.Schema)["properties"];
+  bool closed = place.Schema->value("additionalProperties", true) == false;
   for (const auto &[name, value] : place.Value->items()) {
-    if (known.contains(name))
+    if (!closed || known.contains(name))
       continue;
     std::string names;
     for (const auto &it : known.items())
--- /dev/null
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -0,0 +1,134 @@
+#include "Balsamrack/Daemon/PacketDaemon.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <list>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "UnitTests/Http/ReservedPort.h"
+#include "platform/EchoPackets.h"
+
+namespace balsamrack {
+namespace {
+
+/// Answers each read late, on a thread of its own; a listing holds one server
+/// and one route.
+class LateSource final : public PublishedSource {
+public:
+  ~LateSource() override {
+    for (std::thread &it : Threads)
+      it.join();
+  }
+  void read(const PublishedRead &read, Done done) override {
+    std::lock_guard<std::mutex> hold(Lock);
+    if (Threads.size() >= MostThreads)
+      return;
+    Threads.emplace_back([this, read, done = std::move(done)] {
+      std::this_thread::sleep_for(Wait);
+      done(answerTo(read));
+    });
+  }
+  void cancelAll() override {}
+
+  std::chrono::milliseconds Wait{1};
+
+private:
+  static constexpr size_t MostThreads = 40;
+
+  static PublishedChanges answerTo(const PublishedRead &read) {
+    PublishedChanges changes{read.Section, read.After, {9}, {}};
+    if (read.Section == PublishedSection::Operators) {
+      auto c = std::make_shared<OperatorConfiguration>();
+      c->Version = 1;
+      c->Routes.push_back({{"198.18.0.1", 443},
+                           {{ServiceId("booking"), 1}},
+                           Duration{0},
+                           Duration{0}});
+      changes.Objects.push_back(
+          {read.Section,
+           "config",
+           {3},
+           std::shared_ptr<const OperatorConfiguration>(c)});
+    }
+    return changes;
+  }
+
+  std::mutex Lock;
+  std::list<std::thread> Threads;
+};
+
+class PacketDaemonTest : public testing::Test {
+protected:
+  PacketDaemonTest()
+      : Null(open("/dev/null", O_WRONLY)),
+        Log(EventLog::create(EventLogSettings(), Null, Time)) {
+    Settings.Name = "vm-1";
+    Settings.Domain = DomainId("bern-a");
+    Settings.Packets = PacketsAt.at();
+    Settings.Ready = ReadyAt.at();
+    Settings.ReadyPath = "/ready";
+    Settings.Peers = PeersAt.at();
+    Settings.Metrics = MetricsAt.at();
+    Settings.Grace = Duration(100'000);
+  }
+  ~PacketDaemonTest() override {
+    Log.reset();
+    close(Null);
+  }
+  absl::StatusOr<std::unique_ptr<PacketDaemon>> start(LateSource &source) {
+    return PacketDaemon::create(Settings, {Codec, source, Time, *Log});
+  }
+  static bool until(const std::function<bool()> &condition) {
+    for (int i = 0; i < 2000 && !condition(); ++i)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return condition();
+  }
+
+  const int Null;
+  SystemClock Time;
+  std::unique_ptr<EventLog> Log;
+  platform::EchoPackets Codec;
+  ReservedPort PacketsAt, ReadyAt, PeersAt, MetricsAt;
+  PacketSettings Settings;
+};
+
+TEST_F(PacketDaemonTest, IsReadyOnceItKnowsWhatIsPublished) {
+  LateSource source;
+  source.Wait = std::chrono::milliseconds(50);
+  auto daemon = start(source);
+  ASSERT_TRUE(daemon.ok()) << daemon.status();
+  EXPECT_FALSE((*daemon)->ready());
+  EXPECT_TRUE(until([&] { return (*daemon)->ready(); }));
+  (*daemon)->shutDown();
+  EXPECT_FALSE((*daemon)->ready());
+}
+
+// Story: a VM is stopped while reads of the publishing service are under way.
+// Their answers come when the daemon is gone, and must touch nothing of it.
+TEST_F(PacketDaemonTest, AnswersThatComeAfterItsEndAreHarmless) {
+  for (int i = 0; i < 12; ++i) {
+    LateSource source;
+    source.Wait = std::chrono::milliseconds(i * 3);
+    auto daemon = start(source);
+    ASSERT_TRUE(daemon.ok()) << daemon.status();
+    std::this_thread::sleep_for(std::chrono::milliseconds(i * 2));
+    (*daemon)->shutDown();
+    daemon->reset();
+  }
+}
+
+TEST_F(PacketDaemonTest, ATakenPortIsAnErrorWithStepAndPeer) {
+  LateSource source;
+  auto first = start(source);
+  ASSERT_TRUE(first.ok());
+  auto second = start(source);
+  ASSERT_FALSE(second.ok());
+  EXPECT_EQ(second.status().code(), absl::StatusCode::kAlreadyExists);
+}
+
+} // namespace
+} // namespace balsamrack
