Reckon expected waits exactly under any load; keep to what cold servers bear

Besides: two openings of one caller made a server silent, though its own link may be the cause; a figure for cold servers was read and not used. Change: the closed form of a Poisson excess; others' load bounded at three times full; silence needs two callers; ColdAllowance by share of slots.

--- a/Balsamrack/Decisions/OpeningChoice.cpp
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Terms of the sum over other daemons' flows. Two slots at full load hold more
-/// than eight with a chance of one in 4,000.
-constexpr int MostOthers = 8;
 /// Costs that differ by less are equal: rounding must not decide.
 constexpr double SameCost = 1e-6;
 
@@ -44,14 +41,17 @@
 double expectedWait(const OpeningCandidate &candidate, double othersLoad) {
   double slots = std::max<uint32_t>(candidate.Slots, 1);
   double others = std::max(0.0, slots - candidate.Share) * othersLoad;
-  // Poisson: many daemons, each with few flows there.
+  double free = slots - 1 - candidate.InProgress;
+  // The mean excess of a Poisson number over the free slots (many daemons, each
+  // with few flows there): its mean excess over nothing, and what the free
+  // slots take off it.
+  double wait = others - free;
   double chance = std::exp(-others);
-  double sum = 0;
-  for (int n = 0; n <= MostOthers; ++n) {
-    sum += chance * std::max(0.0, candidate.InProgress + n + 1 - slots);
+  for (int n = 0; n < free; ++n) {
+    wait += (free - n) * chance;
     chance *= others / (n + 1);
   }
-  return sum / slots;
+  return wait / slots;
 }
 
 std::optional<OpeningChoice>
--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -13,12 +13,15 @@
 
 void SilenceDetector::remove(size_t server) { Servers.erase(server); }
 
-bool SilenceDetector::unanswered(TimePoint now, size_t server,
-                                 TimePoint sentAt) {
+bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
+                                 uint32_t caller) {
   auto it = Servers.find(server);
   if (it == Servers.end() || it->second.LastAnswer >= sentAt)
     return false;
   Record &record = it->second;
+  if (record.LastCaller == caller)
+    return false;
+  record.LastCaller = caller;
   ++record.Unanswered;
   if (record.Silent || record.Unanswered < Settings.UnansweredLimit)
     return false;
@@ -64,6 +67,7 @@
   Record &record = it->second;
   record.LastAnswer = now;
   record.Unanswered = 0;
+  record.LastCaller = 0;
   DomainRecord &whole = Domains[record.Domain];
   whole.LastAnswer = now;
   // The others of a domain that speaks again are trusted too: the next two
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -13,7 +13,7 @@
 
 /// Limits of the silence detector.
 struct SilenceSettings {
-  uint32_t UnansweredLimit = 2; ///< Openings in a row without an answer. One
+  uint32_t UnansweredLimit = 2; ///< Callers in a row without an answer. One
                                 ///< packet in forty is lost on a bad link, so
                                 ///< two in a row by chance are one in 1,600.
   uint32_t DomainLimit = 2; ///< Silent servers that make a domain silent, when
@@ -46,9 +46,11 @@
   /// Forgets \p server.
   void remove(size_t server);
 
-  /// An opening that was sent to \p server at \p sentAt has no answer; true
-  /// when that makes it silent.
-  bool unanswered(TimePoint now, size_t server, TimePoint sentAt);
+  /// An opening of \p caller that was sent to \p server at \p sentAt has no
+  /// answer; true when that makes it silent. Guards against one caller that is
+  /// cut off, or sends openings and nothing else: it is counted once.
+  bool unanswered(TimePoint now, size_t server, TimePoint sentAt,
+                  uint32_t caller);
   /// \p server answered an opening, or a connection attempt of ours; true when
   /// it was silent.
   bool answered(TimePoint now, size_t server);
@@ -71,7 +73,8 @@
   /// What is known of one server.
   struct Record {
     DomainId Domain;         ///< Where it stands.
-    uint32_t Unanswered = 0; ///< Openings in a row.
+    uint32_t Unanswered = 0; ///< Callers in a row.
+    uint32_t LastCaller = 0; ///< The last of them; zero: none.
     TimePoint LastAnswer;    ///< Of it, to us.
     TimePoint SilentSince;   ///< Meaningful while Silent.
     bool Silent = false;     ///< Gets no new flows.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -218,8 +218,11 @@
   bool again = flow.Tries > 0;
   bool copy = flow.tried(to);
   count(flow, to);
-  if (!copy)
+  if (!copy) {
     flow.Tried[flow.Tries++] = to;
+    const ServiceId &service = Servers.at(to).Is.What->Server.Service;
+    Servers.newFlow(now, to, coldFigure(service));
+  }
   flow.LastSent = now;
   forward(to, bytes, n, out);
   PacketEvent event =
@@ -235,6 +238,11 @@
   Waiting.push_back(waiting);
 }
 
+double PacketRouter::coldFigure(const ServiceId &service) const {
+  auto it = Routes->ColdPerSecond.find(service);
+  return it == Routes->ColdPerSecond.end() ? 0 : it->second;
+}
+
 bool PacketRouter::triedDomain(const RememberedFlow &flow,
                                const DomainId &domain) const {
   for (uint8_t i = 0; i < flow.Tries; ++i)
@@ -250,9 +258,10 @@
   if (!of)
     return std::nullopt;
   of->smooth(now);
+  double coldPerSecond = coldFigure(service);
   Candidates.clear();
   for (ServerIndex index : of->TakeNew) {
-    if (flow.tried(index))
+    if (flow.tried(index) || !Servers.bears(now, index, coldPerSecond))
       continue;
     const TabledServer &server = Servers.at(index);
     const BackendServer &what = server.Is.What->Server;
@@ -443,7 +452,8 @@
                               PacketSink &out) {
   RememberedFlow *flow = Flows.find(waiting.Opening.Head.Flow);
   ServerIndex server = flow->Home;
-  if (Silence.unanswered(now, server, waiting.SentAt)) {
+  uint32_t caller = waiting.Opening.Head.Flow.Caller.Ip;
+  if (Silence.unanswered(now, server, waiting.SentAt, caller)) {
     out.tell(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer,
                      waiting.Opening.Head.Flow, server));
     reshare();
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -128,6 +128,7 @@
                    PacketSink &out);
   std::optional<OpeningChoice> choose(TimePoint now, const ServiceId &service,
                                       const RememberedFlow &flow);
+  double coldFigure(const ServiceId &service) const;
   bool triedDomain(const RememberedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
   PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -11,6 +11,9 @@
 /// The load of a site moves within seconds; single flows last some tens of
 /// milliseconds.
 constexpr double SmoothingMicros = 1'000'000;
+/// Servers hold some eight requests more than they have slots, so that others
+/// are hardly fuller than this; a small share makes the own ratio jump.
+constexpr double MostLoad = 3;
 /// A flow's time moves the mean by this part.
 constexpr int FlowTimeWeight = 32;
 /// The longest work is some six times the mean, and waits in a full queue.
@@ -35,7 +38,7 @@
 }
 
 void TabledService::smooth(TimePoint now) {
-  double sample = Share > 0 ? InProgress / Share : 0;
+  double sample = Share > 0 ? std::min(InProgress / Share, MostLoad) : 0;
   auto since = static_cast<double>((now - LoadAt).count());
   double weight =
       LoadAt == TimePoint{} ? 1 : 1 - std::exp(-since / SmoothingMicros);
@@ -115,6 +118,20 @@
     --service.InProgress;
 }
 
+bool ServerTable::bears(TimePoint now, ServerIndex index, double perSecond) {
+  TabledServer &server = Servers[index];
+  if (perSecond <= 0 || now >= server.Is.ColdUntil)
+    return true;
+  double part = server.Share / server.Is.What->Server.Slots;
+  return server.Cold.allows(now, perSecond, part);
+}
+
+void ServerTable::newFlow(TimePoint now, ServerIndex index, double perSecond) {
+  TabledServer &server = Servers[index];
+  if (perSecond > 0 && now < server.Is.ColdUntil)
+    server.Cold.used();
+}
+
 void ServerTable::setShares(TabledService &service,
                             const std::vector<ServerIndex> &of,
                             const std::vector<double> &shares) {
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "Balsamrack/Decisions/ColdAllowance.h"
 #include "Balsamrack/Packets/FlowMemory.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "absl/container/flat_hash_map.h"
@@ -17,6 +18,7 @@
   RoutedBackend Is;        ///< As published.
   uint32_t InProgress = 0; ///< Flows of this daemon that it works on.
   double Share = 0;        ///< Of its slots, this daemon's.
+  ColdAllowance Cold;      ///< New flows while it is cold.
 };
 
 /// The servers of one service, and how full they are by own counts.
@@ -71,6 +73,11 @@
   void add(ServerIndex index);
   /// See add().
   void remove(ServerIndex index);
+  /// True when the server at \p index is not cold, or is cold and bears a new
+  /// flow of this daemon now, by \p perSecond (zero: no figure is given).
+  bool bears(TimePoint now, ServerIndex index, double perSecond);
+  /// A new flow went to the server at \p index; see bears().
+  void newFlow(TimePoint now, ServerIndex index, double perSecond);
   /// Sets the own shares of the servers of \p service, in the order of
   /// \p of. Precondition: both lists are as long.
   void setShares(TabledService &service, const std::vector<ServerIndex> &of,
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -47,6 +47,7 @@
     std::string Domain;
     std::string Service = "booking";
     ServerMode Mode = ServerMode::Active;
+    Duration ColdLeft{0};
   };
 
   explicit PacketBench(uint64_t seed = 1)
@@ -60,9 +61,11 @@
   /// Publishes the configuration: routes by port, each with its service.
   void configure(uint64_t version,
                  const std::vector<std::pair<uint16_t, std::string>> &routes,
-                 bool objectives = true) {
+                 bool objectives = true, double coldPerSecond = 0) {
     auto made = std::make_shared<OperatorConfiguration>();
     made->Version = version;
+    if (coldPerSecond > 0)
+      made->Services = {{ServiceId("booking"), coldPerSecond}};
     for (const auto &[port, service] : routes) {
       PublishedRoute route;
       route.At = {"198.18.0.1", port};
@@ -96,6 +99,7 @@
       s->Tag = std::stoull(line.Id.substr(1));
       s->Server.At = {"10.0.0." + line.Id.substr(1), 8080};
       s->Server.Mode = line.Mode;
+      s->ColdLeft = line.ColdLeft;
       changed.push_back({PublishedSection::Servers,
                          line.Id,
                          {++Revisions},
@@ -122,8 +126,9 @@
              {"b4", "bern-b"}});
   }
 
+  /// The flow of a caller of its own.
   static FlowKey key(uint16_t callerPort, uint16_t port = 443) {
-    return {{0x64400001, callerPort}, {0xc6120001, port}};
+    return {{0x64400000U + callerPort, callerPort}, {0xc6120001, port}};
   }
   /// The caller sends an opening, or copy \p copy of it.
   void opens(uint16_t callerPort, uint8_t copy = 0, uint16_t port = 443) {
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -204,6 +204,34 @@
   }
 }
 
+// Story: a server has just started and bears four flows a second. Nine daemons
+// with a busy hour behind them must not send it more together.
+TEST(PacketRouterTest, AColdServerGetsNoMoreThanItBearsFromAllDaemons) {
+  constexpr size_t Daemons = 9;
+  constexpr double PerSecond = 4;
+  size_t toCold = 0;
+  for (size_t self = 0; self < Daemons; ++self) {
+    PacketBench bench(self + 1);
+    bench.configure(1, {{443, "booking"}}, true, PerSecond);
+    bench.servers({{"b1", "bern-a"},
+                   {"b2", "bern-a"},
+                   {"b3", "bern-b"},
+                   {"b4", "bern-b", "booking", ServerMode::Active,
+                    Duration(60'000'000)}});
+    bench.Router.setFleet(Daemons, self);
+    for (uint16_t port = 1; port <= 400; ++port) {
+      bench.opens(port);
+      bench.speaks(port, bench.lastToken());
+      bench.pass(Duration(5'000));
+    }
+    for (const auto &sent : bench.Out.Sent)
+      toCold += sent.Tag == 4 ? 1 : 0;
+  }
+  // Two seconds; each flow has two packets.
+  EXPECT_LE(static_cast<double>(toCold) / 2, PerSecond * 2);
+  EXPECT_GT(toCold, 4U);
+}
+
 // Story: the publishing service was away, and all entries lapsed though every
 // server lives. Openings must go on, spread over all of them.
 TEST(PacketRouterTest, ServersThatLapseTogetherStayInUse) {
