Take the holding back of late copies out again; log each placing

Besides: every placing is logged (100 lines a second and event at most), and open flows that fall silent get a line of their own, so that a caller's flow is found also when it was broken off.

--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -60,7 +60,7 @@
     : Log(log), Numbers(Metrics::create(clock)) {}
 
 bool PacketTelemetry::isLogged(const PacketEvent &event) {
-  if (!isOrdinary(event.Kind))
+  if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed)
     return true;
   uint64_t hash =
       combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
--- a/Balsamrack/Daemon/PacketTelemetry.h
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -17,9 +17,9 @@
 /// log, and metrics. Thread-safe; never blocks for long.
 class PacketTelemetry {
 public:
-  /// Of ordinary events of flows, one flow in so many is logged: the same ones
-  /// on all daemons, so that a flow's whole way can be read. What goes wrong
-  /// is always logged.
+  /// Each placing is logged, and what goes wrong. Of what follows in ordinary
+  /// flows (confirmed, adopted, ended) one flow in so many is logged: the same
+  /// ones on all daemons, so that a flow's whole way can be read.
   static constexpr uint64_t LoggedFlows = 8;
 
   /// Preconditions: \p clock and \p log outlive the result.
--- a/Balsamrack/Observability/EventLog.h
+++ b/Balsamrack/Observability/EventLog.h
@@ -45,10 +45,11 @@
 
 /// Limits of the event log.
 struct EventLogSettings {
-  uint32_t LinesPerSecond = 40; ///< Of one event; 13 KB a second at most for
-                                ///< the usual line of 330 bytes.
-  uint32_t Waiting = 2'000;     ///< Lines that wait to be written, 700 KB.
-  Duration Period{250'000};     ///< Lines are written so often, in one call.
+  uint32_t LinesPerSecond = 100; ///< Of one event; 33 KB a second for the usual
+                                 ///< line of 330 bytes. A small site's daemon
+                                 ///< places some fifty flows a second.
+  uint32_t Waiting = 2'000;      ///< Lines that wait to be written, 700 KB.
+  Duration Period{250'000};      ///< Lines are written so often, in one call.
 };
 
 /// Structured log, a JSON object a line. Never blocks: lines wait in a bounded
--- a/Balsamrack/Packets/FlowMemory.cpp
+++ b/Balsamrack/Packets/FlowMemory.cpp
@@ -37,7 +37,7 @@
     bool over = silent >= keep(it->second);
     Duration quietSpan = quiet(it->second);
     if (over || silent >= quietSpan)
-      onQuiet(it->second);
+      onQuiet(key, it->second, over);
     if (over) {
       Flows.erase(it);
       continue;
--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -65,8 +65,10 @@
 
   /// Says how long a flow may be without a packet.
   using SpanOf = std::function<Duration(const RememberedFlow &)>;
-  /// Told of each flow before it is forgotten, or whose quiet time is over.
-  using OnQuiet = std::function<void(RememberedFlow &)>;
+  /// Told of each flow whose quiet time is over, or that is about to be
+  /// forgotten.
+  using OnQuiet = std::function<void(const FlowKey &key, RememberedFlow &flow,
+                                     bool forgotten)>;
   /// Looks at the flows whose turn it is: calls \p onQuiet for each that had no
   /// packet for \p quiet of it, and forgets those that were silent for \p keep.
   void sweep(TimePoint now, const SpanOf &quiet, const SpanOf &keep,
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -25,24 +25,8 @@
   bool keep(const PacketHead &head, const uint8_t *bytes, size_t n);
 };
 
-/// How long an opening that is a copy may wait for a free slot, or zero when it
-/// shall not wait at all.
-///
-/// Load that it answers: all daemons were away for a second or two, and when
-/// they are back their callers come all at once: those that call just now, and
-/// those that have called all along. Served in the order of arrival, everybody
-/// waits behind everybody and nearly all are late; one in three was in time,
-/// measured over the two seconds after a loss of power. The copies' callers
-/// have lost their objective already, but have time left, so they give way to
-/// those that can still be served in time, as in adaptive LIFO queues.
-///
-/// An opening whose objective is not over, or that has less than a quarter of
-/// its time left, does not wait. \p objective and \p timeout may be zero for
-/// "not given"; without an objective nothing waits. Pure, thread-safe.
-Duration waitOfCopy(Duration age, Duration objective, Duration timeout);
-
-/// Openings that wait: for the first news after a start or a pause, or for free
-/// slots. Bounded. Not thread-safe.
+/// Openings that wait for the first news after a start or a pause. Bounded. Not
+/// thread-safe.
 class HeldOpenings {
 public:
   /// Half a second of a small site's openings at a daemon.
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -17,13 +17,14 @@
   Adopted,      ///< An open flow came from another daemon, with its token.
   Ended,        ///< The caller has ended the flow.
   Abandoned,    ///< The caller has reset the flow.
+  Forgotten,    ///< An open flow without packets: its caller or server is gone.
   Refused,      ///< An opening was answered with a reset.
   Dropped,      ///< A packet was not passed on.
   ServerSilent, ///< A server leaves openings unanswered.
   ServerBack,   ///< A silent server answers again.
 };
 /// Number of kinds.
-constexpr size_t PacketEventKinds = 10;
+constexpr size_t PacketEventKinds = 11;
 
 /// Why, where the kind does not say it all.
 enum class PacketReason {
@@ -60,7 +61,8 @@
   double Share = 0;        ///< Of the server's slots, ours.
   double OthersLoad = 0;   ///< How full others' shares were reckoned.
   uint64_t Version = 0;    ///< Of the configuration that was used.
-  Duration Took{0}; ///< Confirmed: since the first copy. Ended: since then.
+  Duration Took{0}; ///< Confirmed, Ended: since the first copy. Forgotten: from
+                    ///< that to the last packet.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -108,7 +108,7 @@
                        NoServerIndex));
     return;
   }
-  place(now, head, bytes, n, true, out);
+  place(now, head, bytes, n, out);
 }
 
 bool PacketRouter::holdBack(TimePoint now, const PacketHead &head,
@@ -118,8 +118,7 @@
 }
 
 void PacketRouter::place(TimePoint now, const PacketHead &head,
-                         const uint8_t *bytes, size_t n, bool mayWait,
-                         PacketSink &out) {
+                         const uint8_t *bytes, size_t n, PacketSink &out) {
   const ServiceId *service = serviceFor(head.Flow);
   if (!service) {
     refuse(head, PacketReason::NoRoute, out);
@@ -131,11 +130,6 @@
     refuse(head, PacketReason::NoServer, out);
     return;
   }
-  const RoutedRoute &route = Routes->Routes.at(head.Flow.Service);
-  Duration wait = waitOfCopy(head.Age, route.Objective, route.Timeout);
-  if (mayWait && wait > Duration{0} && to->Wait > Settings.FreeWait &&
-      holdBack(now, head, bytes, n, wait))
-    return;
   RememberedFlow *flow = Flows.add(now, head.Flow);
   if (!flow)
     flow = &spare;
@@ -150,29 +144,18 @@
 }
 
 void PacketRouter::goOnWithHeld(TimePoint now, PacketSink &out) {
-  if (!Routes || Stale)
-    return;
-  // Each that waits is looked at once; those that have to wait on go to the
-  // end, behind those that came after them and wait for the same slots.
-  for (size_t n = Held.size(); n > 0; --n) {
+  while (Routes && !Stale && !Held.empty()) {
     HeldOpenings::Held held = Held.take();
     const KeptOpening &opening = held.Opening;
-    const ServiceId *service = serviceFor(opening.Head.Flow);
-    RememberedFlow *flow = Flows.find(opening.Head.Flow);
-    bool known = flow && flow->FirstSequence == opening.Head.Sequence;
-    if (known)
-      continue;
-    bool waits = service && opening.Head.Age > Duration{0} &&
-                 now < held.Until && !slotIsFree(now, *service);
-    if (waits && Held.add(opening, held.Until))
+    const RememberedFlow *flow = Flows.find(opening.Head.Flow);
+    // A copy of one that went on before it.
+    if (flow && flow->FirstSequence == opening.Head.Sequence)
       continue;
-    place(now, opening.Head, opening.Packet.data(), opening.Bytes, false, out);
+    place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
   }
-}
-
-bool PacketRouter::slotIsFree(TimePoint now, const ServiceId &service) {
-  auto best = choose(now, service, RememberedFlow());
-  return best && best->Wait <= Settings.FreeWait;
+  // What has waited too long is sent again by its caller.
+  while (!Held.empty() && now >= Held.front().Until)
+    Held.take();
 }
 
 void PacketRouter::openingCopy(TimePoint now, RememberedFlow &flow,
@@ -438,7 +421,15 @@
         }
         return openKeep;
       },
-      [this](RememberedFlow &flow) { release(flow); });
+      [&](const FlowKey &key, RememberedFlow &flow, bool forgotten) {
+        release(flow);
+        if (!forgotten || flow.Stage != FlowStage::Open)
+          return;
+        PacketEvent event = eventOf(PacketEventKind::Forgotten,
+                                    PacketReason::None, key, flow.Home);
+        event.Took = flow.LastSeen - flow.OpenedAt;
+        out.tell(event);
+      });
 }
 
 bool PacketRouter::stillWaits(const WaitingOpening &waiting) {
@@ -476,10 +467,6 @@
 
 TimePoint PacketRouter::nextWakeup() const {
   TimePoint next = Waiting.empty() ? Never : Waiting.front().Due;
-  // Slots get free as packets come in, and each packet is followed by a tick;
-  // what waits for news goes on when they come.
-  if (!Held.empty() && Routes)
-    next = std::min(next, Held.front().Until);
   return std::min(next, Silence.nextDue());
 }
 
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -25,8 +25,7 @@
   Duration NewsWait{300'000}; ///< An opening waits so long at most for the
                               ///< first news after a start or a pause: callers
                               ///< send a copy after 200 ms.
-  double FreeWait = 0.1; ///< A server with less expected wait has a free slot.
-  size_t MaxFlows = 100'000;       ///< Flows remembered, some 100 bytes each.
+  size_t MaxFlows = 100'000;  ///< Flows remembered, some 100 bytes each.
   Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
                                    ///< forgotten; callers give up after 1.4 s.
   Duration EndingKeep{3'000'000};  ///< Packets may follow the end of a flow:
@@ -106,9 +105,8 @@
   bool holdBack(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                 size_t n, Duration most);
   void place(TimePoint now, const PacketHead &head, const uint8_t *bytes,
-             size_t n, bool mayWait, PacketSink &out);
+             size_t n, PacketSink &out);
   void goOnWithHeld(TimePoint now, PacketSink &out);
-  bool slotIsFree(TimePoint now, const ServiceId &service);
   void openingCopy(TimePoint now, RememberedFlow &flow, const PacketHead &head,
                    const uint8_t *bytes, size_t n, PacketSink &out);
   void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -158,12 +158,11 @@
         made->ColdPerSecond[service.Id] = service.ColdPerSecond;
     for (const PublishedRoute &route : Configuration->Routes) {
       Endpoint end = Endpoint::of(route.At);
-      made->Routes[end] = {route.Targets, Allowed[end], route.Timeout,
-                           route.Objective};
+      made->Routes[end] = {route.Targets, Allowed[end]};
     }
   }
   for (const auto &[end, dropped] : DroppedRoutes)
-    made->Routes[end] = {{}, dropped.EverAllowed, Duration{0}, Duration{0}};
+    made->Routes[end] = {{}, dropped.EverAllowed};
   made->Servers.reserve(Servers.size());
   for (const auto &[key, known] : Servers) {
     const BackendServer &server = known.What->Server;
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -42,8 +42,6 @@
 struct RoutedRoute {
   std::vector<RouteTarget> Targets;   ///< For new flows; empty once dropped.
   std::vector<ServiceId> EverAllowed; ///< A token may name their servers.
-  Duration Timeout{0};                ///< Of its requests; zero: not given.
-  Duration Objective{0};              ///< Latency objective; zero: none.
 };
 
 /// An immutable snapshot of where packets may go. Thread-safe.
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -25,8 +25,6 @@
 void fields(Ar &ar, typename Ar::template Ref<PublishedRoute> m) {
   ar("a", m.At);
   ar("t", m.Targets);
-  ar("d", m.Timeout);
-  ar("l", m.Objective);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/PublishedState.h
+++ b/Balsamrack/Published/PublishedState.h
@@ -31,8 +31,6 @@
 struct PublishedRoute {
   Address At;                       ///< What callers connect to.
   std::vector<RouteTarget> Targets; ///< At least one.
-  Duration Timeout{0};              ///< Of its requests; zero: not given.
-  Duration Objective{0}; ///< Latency objective of its requests; zero: none.
 };
 
 /// What operators say of a service, apart from its servers.
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -44,10 +44,7 @@
     if (read.Section == PublishedSection::Operators) {
       auto c = std::make_shared<OperatorConfiguration>();
       c->Version = 1;
-      c->Routes.push_back({{"198.18.0.1", 443},
-                           {{ServiceId("booking"), 1}},
-                           Duration{0},
-                           Duration{0}});
+      c->Routes.push_back({{"198.18.0.1", 443}, {{ServiceId("booking"), 1}}});
       changes.Objects.push_back(
           {read.Section,
            "config",
--- a/UnitTests/Packets/FlowMemoryTest.cpp
+++ b/UnitTests/Packets/FlowMemoryTest.cpp
@@ -28,7 +28,7 @@
   RememberedFlow *open = memory.add(Start, key(1));
   open->Stage = FlowStage::Open;
   int quiet = 0;
-  auto onQuiet = [&](RememberedFlow &flow) {
+  auto onQuiet = [&](const FlowKey &, RememberedFlow &flow, bool) {
     quiet += flow.Stage == FlowStage::Opening ? 1 : 0;
   };
   for (TimePoint now = Start; now < Start + Duration(3'000'000);
@@ -59,7 +59,8 @@
   for (TimePoint now = Start; now < Start + Duration(60'000'000);
        now += Duration(500'000)) {
     memory.find(key(1))->LastSeen = now;
-    memory.sweep(now, quietOf, keepOf, [&](RememberedFlow &) { ++quiet; });
+    memory.sweep(now, quietOf, keepOf,
+                 [&](const FlowKey &, RememberedFlow &, bool) { ++quiet; });
     ASSERT_NE(memory.find(key(1)), nullptr);
   }
   EXPECT_EQ(quiet, 0);
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -61,7 +61,7 @@
   /// Publishes the configuration: routes by port, each with its service.
   void configure(uint64_t version,
                  const std::vector<std::pair<uint16_t, std::string>> &routes,
-                 bool objectives = true, double coldPerSecond = 0) {
+                 double coldPerSecond = 0) {
     auto made = std::make_shared<OperatorConfiguration>();
     made->Version = version;
     if (coldPerSecond > 0)
@@ -70,8 +70,6 @@
       PublishedRoute route;
       route.At = {"198.18.0.1", port};
       route.Targets = {{ServiceId(service), 1}};
-      route.Timeout = Duration(1'500'000);
-      route.Objective = objectives ? Duration(150'000) : Duration(0);
       made->Routes.push_back(route);
     }
     Operators = {{PublishedSection::Operators,
@@ -137,9 +135,6 @@
     head.Opens = true;
     head.Sequence = callerPort;
     head.Copy = copy;
-    head.Age = copy == 0   ? Duration(0)
-               : copy == 1 ? Duration(200'000)
-                           : Duration(600'000);
     Router.packet(Now, head, Bytes, sizeof Bytes, Out);
     Router.tick(Now, Out);
   }
