--- a/Balsamrack/Core/SignalPipe.cpp
+++ b/Balsamrack/Core/SignalPipe.cpp
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <pthread.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -27,14 +26,6 @@
   errno = saved;
 }
 
-/// Lets the calling thread have the signals only while it waits for them, so
-/// that no other system call of it is interrupted.
-void setBlocked(bool blocked, const sigset_t &signals) {
-  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
-}
-
-sigset_t TakenOver; ///< Set once by create().
-
 } // namespace
 
 absl::StatusOr<std::unique_ptr<SignalPipe>>
@@ -43,14 +34,11 @@
   if (HandlerEnd.load() >= 0 || pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0)
     return absl::InternalError("cannot take signals over");
   HandlerEnd = ends[1];
-  sigemptyset(&TakenOver);
   struct sigaction action {};
   action.sa_handler = writeSignal;
-  for (int it : signals) {
-    sigaddset(&TakenOver, it);
+  action.sa_flags = SA_RESTART;
+  for (int it : signals)
     sigaction(it, &action, nullptr);
-  }
-  setBlocked(true, TakenOver);
   return std::unique_ptr<SignalPipe>(new SignalPipe(ends[0], ends[1]));
 }
 
@@ -62,10 +50,8 @@
 
 int SignalPipe::wait(Duration most) {
   pollfd polled{ReadEnd, POLLIN, 0};
-  setBlocked(false, TakenOver);
-  // A signal that comes right before the wait has written its byte already.
+  // A signal may end the wait early, on this thread or by its byte.
   poll(&polled, 1, static_cast<int>(most.count() / MicrosPerMilli));
-  setBlocked(true, TakenOver);
   uint8_t signal = 0;
   return read(ReadEnd, &signal, 1) == 1 ? signal : 0;
 }
--- a/Balsamrack/Core/SignalPipe.h
+++ b/Balsamrack/Core/SignalPipe.h
@@ -11,19 +11,21 @@
 
 /// Turns signals into bytes of a pipe, so that one that comes while its thread
 /// is busy is found by the next wait. One object a process. Not thread-safe.
+///
+/// No thread blocks the signals: one that is asked to end while it reads its
+/// settings must hear of it. The handler may run on any thread; system calls
+/// are restarted, but for waits, whose callers all look around and wait again.
 class SignalPipe {
 public:
-  /// Takes \p signals over for the whole process. To be called before any other
-  /// thread is started: threads that are started afterwards don't get them.
-  /// Error kInternal when the system refuses, or when there is one already.
+  /// Takes \p signals over for the whole process. Error kInternal when the
+  /// system refuses, or when there is one already.
   static absl::StatusOr<std::unique_ptr<SignalPipe>>
   create(std::initializer_list<int> signals);
   SignalPipe(const SignalPipe &) = delete;
   SignalPipe &operator=(const SignalPipe &) = delete;
   ~SignalPipe();
 
-  /// The next signal, or zero when none comes within \p most. Must be called on
-  /// the thread that called create().
+  /// The next signal, or zero when none comes within \p most.
   int wait(Duration most);
 
 private:
