--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "Balsamrack/Core/ListenSocket.h"
 #include "Balsamrack/Http/HttpClient.h"
 #include "Balsamrack/Packets/Packet.h"
 #include "FailureTests/Process.h"
@@ -223,6 +224,21 @@
   EXPECT_EQ(call(), CallResult::End::Answered);
 }
 
+// Story: a daemon is started while the run before still holds its address. It
+// says so, and starts once the address is free, without ending in between.
+TEST_F(PacketFleetTest, AHeldAddressIsWaitedFor) {
+  Processes[2]->signal(SIGKILL);
+  ASSERT_TRUE(Processes[2]->awaitEnd(Second * 5).ok());
+  {
+    auto holder = ListenSocket::open({vmIp(2), Ports[3]});
+    ASSERT_TRUE(holder.ok()) << holder.status();
+    startDaemon(2);
+    EXPECT_TRUE(logHas(2, "\"event\":\"not-started\""));
+    EXPECT_TRUE(Processes[2]->running());
+  }
+  EXPECT_TRUE(awaitUntil(Second * 10, [&] { return isReady(2); }));
+}
+
 // Story: all daemons are killed at once, and start again.
 TEST_F(PacketFleetTest, AllDaemonsComeBackTogether) {
   for (auto &process : Processes)
--- a/Programs/balsamrack-packetd.cpp
+++ b/Programs/balsamrack-packetd.cpp
@@ -23,6 +23,8 @@
 
 /// The settings file may change without a signal; it is looked at so often.
 constexpr Duration LookPeriod{1'000'000};
+/// Between tries to start.
+constexpr Duration StartRetry{200'000};
 constexpr int StandardOutput = 1;
 
 cxxopts::Options options() {
@@ -111,9 +113,14 @@
     return Failed;
   }
   auto daemon = PacketDaemon::create(settings, {codec, **source, clock, *log});
-  if (!daemon.ok()) {
-    std::cerr << "balsamrack-packetd: " << describe(daemon.status()) << "\n";
-    return Failed;
+  // An address may be held for a moment by the run before. An exit would only
+  // bring the same start again, later.
+  while (!daemon.ok()) {
+    log->write(LogLine(Part::Daemon, Severity::Error, "not-started")
+                   .text("error", describe(daemon.status())));
+    if (asksForEnd(signals.wait(StartRetry)))
+      return Good;
+    daemon = PacketDaemon::create(settings, {codec, **source, clock, *log});
   }
   for (int signal = 0; !asksForEnd(signal); signal = signals.wait(LookPeriod))
     if (file.look())
