--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -109,6 +109,7 @@
   /// Entries disappear.
   void gone(const std::vector<std::string> &ids) {
     std::vector<PublishedObject> changed;
+    changed.reserve(ids.size());
     for (const std::string &id : ids)
       changed.push_back(
           {PublishedSection::Servers, id, {++Revisions}, std::monostate()});
--- a/UnitTests/Packets/PacketLoadTest.cpp
+++ b/UnitTests/Packets/PacketLoadTest.cpp
@@ -61,7 +61,8 @@
       Now = next.At;
       next.Do();
     }
-    Counts.MeanWaitMillis = Waits == 0 ? 0 : WaitSum / Waits / 1000;
+    Counts.MeanWaitMillis =
+        Waits == 0 ? 0 : WaitSum / static_cast<double>(Waits) / 1000;
     return Counts;
   }
 
