Read changes of servers twice a second at most

Ruled out: fewer readers (takeover after 2.6 s would come near the three seconds in which a configuration must be in force), calls at the start (176 of them, a tenth of the price each). Change: half a second between reads of servers; operators' changes as before. NewsExchangeTest.ManyChangesOfServersCostFewReads failed first (265 reads where 75 are allowed) and passes.

--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -44,6 +44,11 @@
   return now - state.ProvedAt > limit;
 }
 
+Duration NewsExchange::periodOf(PublishedSection section) const {
+  return section == PublishedSection::Servers ? Settings.ServersPeriod
+                                              : Settings.OperatorsPeriod;
+}
+
 void NewsExchange::readIfWanted(TimePoint now, PublishedSection section) {
   if (!wantsRead(now, section))
     return;
@@ -95,7 +100,9 @@
     Actions.emplace_back(SourceChanged{read.Section, true, ""});
   state.Failures = 0;
   state.ListNext = false;
-  state.NextRead = now + Settings.LeastPeriod;
+  // A first listing may be old; what follows it is not put off.
+  state.NextRead =
+      now + (read.MayBeOld ? Settings.OperatorsPeriod : periodOf(read.Section));
   if (!read.MayBeOld)
     state.ProvedAt = now;
   Revision before = Store.completeAs(read.Section);
@@ -115,7 +122,7 @@
   if (status.code() == absl::StatusCode::kOutOfRange) {
     // The service has dropped the history that we would need.
     state.ListNext = true;
-    state.NextRead = now + Settings.LeastPeriod;
+    state.NextRead = now + Settings.OperatorsPeriod;
     return;
   }
   if (state.Failures == 0)
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -20,16 +20,20 @@
   Duration Watch{2'000'000}; ///< One watch of the publishing service waits so
                              ///< long: its answer is the proof that the service
                              ///< still speaks to its reader.
-  Duration TakeoverAge{2'600'000}; ///< News without such a proof for longer:
-                                   ///< others read too. A watch and its way to
-                                   ///< all peers fit in.
-  Duration TakeoverStep{200'000};  ///< The next one in a domain's order waits
-                                   ///< longer by this, so that few read.
-  Duration OfferPeriod{250'000};   ///< One peer is told what is held here.
-  Duration MinBackoff{250'000};    ///< Between reads, after a failure.
-  Duration MaxBackoff{2'000'000};  ///< After many failures.
-  Duration LeastPeriod{20'000};    ///< Between reads of one section, whatever
-                                   ///< the service answers.
+  Duration TakeoverAge{2'600'000};  ///< News without such a proof for longer:
+                                    ///< others read too. A watch and its way to
+                                    ///< all peers fit in.
+  Duration TakeoverStep{200'000};   ///< The next one in a domain's order waits
+                                    ///< longer by this, so that few read.
+  Duration OfferPeriod{250'000};    ///< One peer is told what is held here.
+  Duration MinBackoff{250'000};     ///< Between reads, after a failure.
+  Duration MaxBackoff{2'000'000};   ///< After many failures.
+  Duration OperatorsPeriod{20'000}; ///< Between reads of what operators
+                                    ///< publish, whatever the service answers.
+  Duration ServersPeriod{500'000};  ///< As above, of servers: a release changes
+                                    ///< several a second, and each change would
+                                    ///< cost a call of each reader. Servers
+                                    ///< drain for three seconds at least.
   size_t MostTold = 32; ///< Peers of the own domain that are told of a change
                         ///< at once; more hear by offers.
   size_t AllTold = 16;  ///< A fleet up to this size is told as a whole.
@@ -121,6 +125,7 @@
   }
   size_t rank() const;
   bool wantsRead(TimePoint now, PublishedSection section) const;
+  Duration periodOf(PublishedSection section) const;
   void readIfWanted(TimePoint now, PublishedSection section);
   void failed(TimePoint now, const PublishedRead &read,
               const absl::Status &status);
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -73,6 +73,24 @@
   EXPECT_EQ(fleet.versionAt(0), 1U);
 }
 
+// Load: a release replaces servers, ten changes a second. Each reader would
+// come back for each of them, at the price of a call.
+TEST(NewsExchangeTest, ManyChangesOfServersCostFewReads) {
+  NewsFleet fleet(5, 4, 1);
+  fleet.run(Second * 4);
+  for (auto &node : fleet.Nodes)
+    node.Calls = 0;
+  for (int i = 0; i < 50; ++i) {
+    fleet.serverChanges();
+    fleet.run(Second / 10);
+  }
+  uint64_t calls = 0;
+  for (const auto &node : fleet.Nodes)
+    calls += node.Calls;
+  // Five readers: two reads a second of servers, half a one of operators.
+  EXPECT_LE(calls, 5U * 5 * 3);
+}
+
 /// Reads of the service a second and messages a second, a daemon, in calm
 /// times.
 struct Size {
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/NewsFleet.h
@@ -76,6 +76,20 @@
     }
     answerWatches();
   }
+  /// A server publishes a change.
+  void serverChanges() {
+    auto made = std::make_shared<PublishedServer>();
+    made->Server.Id = ServerId("i-1");
+    Revisions += 3;
+    Truth.merge({PublishedSection::Servers,
+                 {Revisions - 3},
+                 {Revisions},
+                 {{PublishedSection::Servers,
+                   "i-1",
+                   {Revisions},
+                   std::shared_ptr<const PublishedServer>(made)}}});
+    answerWatches();
+  }
   void run(Duration span) {
     for (TimePoint until = Now + span; Now < until; Now += Duration(10'000)) {
       while (!Events.empty() && Events.top().At <= Now) {
