--- /dev/null
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -0,0 +1,161 @@
+#include "Balsamrack/Packets/PacketRouter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Balsamrack/Decisions/SlotShares.h"
+
+// The part of PacketRouter that places new flows.
+
+namespace balsamrack {
+
+void PacketRouter::reshare() {
+  for (auto &[id, service] : Servers.servicesForShares()) {
+    std::vector<ServerIndex> usable;
+    std::vector<uint32_t> slots;
+    for (ServerIndex index : service.TakeNew)
+      if (!Silence.silent(index)) {
+        usable.push_back(index);
+        slots.push_back(Servers.at(index).Is.What->Server.Slots);
+      }
+    Servers.setShares(service, usable, slotShares(slots, Daemons, Self));
+  }
+}
+
+const ServiceId *PacketRouter::serviceFor(const FlowKey &key) const {
+  auto it = Routes->Routes.find(key.Service);
+  if (it == Routes->Routes.end())
+    return nullptr;
+  uint64_t total = 0;
+  for (const RouteTarget &target : it->second.Targets)
+    total += target.Weight;
+  if (total == 0)
+    return nullptr;
+  // By the flow, so that every daemon picks the same service for its copies.
+  uint64_t point = combineHash(combineHash(key.Caller.Ip, key.Caller.Port),
+                               combineHash(key.Service.Ip, key.Service.Port)) %
+                   total;
+  for (const RouteTarget &target : it->second.Targets) {
+    if (point < target.Weight)
+      return &target.Service;
+    point -= target.Weight;
+  }
+  return nullptr;
+}
+
+void PacketRouter::place(TimePoint now, const PacketHead &head,
+                         const uint8_t *bytes, size_t n, PacketSink &out) {
+  const ServiceId *service = serviceFor(head.Flow);
+  if (!service) {
+    refuse(head, PacketReason::NoRoute, out);
+    return;
+  }
+  RememberedFlow spare;
+  auto to = choose(now, *service, spare);
+  if (!to) {
+    refuse(head, PacketReason::NoServer, out);
+    return;
+  }
+  RememberedFlow *flow = Flows.add(now, head.Flow);
+  if (!flow)
+    flow = &spare;
+  flow->OpenedAt = now;
+  flow->FirstSequence = head.Sequence;
+  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
+  // A flow that has no room in the memory is not counted, or its count would
+  // stay for ever.
+  if (flow == &spare)
+    release(spare);
+}
+
+bool PacketRouter::sendElsewhere(TimePoint now, RememberedFlow &flow,
+                                 const PacketHead &head, const uint8_t *bytes,
+                                 size_t n, PacketSink &out) {
+  if (flow.Tries >= RememberedFlow::MaxTries)
+    return false;
+  const ServiceId *service = serviceFor(head.Flow);
+  if (!service)
+    return false;
+  auto to = choose(now, *service, flow);
+  if (!to)
+    return false;
+  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
+  return true;
+}
+
+void PacketRouter::sendOpening(TimePoint now, RememberedFlow &flow,
+                               ServerIndex to, const PacketHead &head,
+                               const uint8_t *bytes, size_t n,
+                               PacketSink &out) {
+  bool again = flow.Tries > 0;
+  bool copy = flow.tried(to);
+  count(flow, to);
+  if (!copy) {
+    flow.Tried[flow.Tries++] = to;
+    const ServiceId &service = Servers.at(to).Is.What->Server.Service;
+    Servers.newFlow(now, to, coldFigure(service));
+  }
+  flow.LastSent = now;
+  forward(to, bytes, n, out);
+  PacketEvent event =
+      eventOf(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
+              copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
+  event.Tries = flow.Tries;
+  out.tell(event);
+  WaitingOpening waiting;
+  waiting.Due = now + Timeout.value();
+  waiting.SentAt = now;
+  if (!waiting.Opening.keep(head, bytes, n))
+    waiting.Opening.Head = head;
+  Waiting.push_back(waiting);
+}
+
+double PacketRouter::coldFigure(const ServiceId &service) const {
+  auto it = Routes->ColdPerSecond.find(service);
+  return it == Routes->ColdPerSecond.end() ? 0 : it->second;
+}
+
+bool PacketRouter::triedDomain(const RememberedFlow &flow,
+                               const DomainId &domain) const {
+  for (uint8_t i = 0; i < flow.Tries; ++i)
+    if (Servers.at(flow.Tried[i]).Is.What->Server.Domain == domain)
+      return true;
+  return false;
+}
+
+std::optional<OpeningChoice> PacketRouter::choose(TimePoint now,
+                                                  const ServiceId &service,
+                                                  const RememberedFlow &flow) {
+  TabledService *of = Servers.service(service);
+  if (!of)
+    return std::nullopt;
+  of->smooth(now);
+  double coldFlows = coldFigure(service);
+  Candidates.clear();
+  for (ServerIndex index : of->TakeNew) {
+    if (flow.tried(index) || !Servers.bears(now, index, coldFlows))
+      continue;
+    const TabledServer &server = Servers.at(index);
+    const BackendServer &what = server.Is.What->Server;
+    OpeningCandidate candidate;
+    candidate.Server = index;
+    if (Silence.silent(index))
+      candidate.Rank = OpeningRank::Silent;
+    else if (server.Is.Presence == ServerPresence::Lapsed &&
+             !server.Is.WithMany)
+      candidate.Rank = OpeningRank::Lapsed;
+    else if (triedDomain(flow, what.Domain))
+      candidate.Rank = OpeningRank::Doubted;
+    candidate.InProgress = server.InProgress;
+    candidate.Slots = what.Slots;
+    candidate.Share = server.Share;
+    candidate.Near = what.Domain == Settings.Domain;
+    candidate.Cold = now < server.Is.ColdUntil;
+    Candidates.push_back(candidate);
+  }
+  return chooseForOpening(Candidates, of->Load, Random);
+}
+
+} // namespace balsamrack
