--- a/Balsamrack/Client/TicketCommands.cpp
+++ b/Balsamrack/Client/TicketCommands.cpp
@@ -14,18 +14,6 @@
 
 using nlohmann::json;
 
-const char *kindName(ObjectKind kind) {
-  switch (kind) {
-  case ObjectKind::Domain:
-    return "domain";
-  case ObjectKind::Service:
-    return "service";
-  case ObjectKind::Server:
-    break;
-  }
-  return "server";
-}
-
 const char *changeName(ObjectChange::Kind kind) {
   switch (kind) {
   case ObjectChange::Kind::Created:
@@ -90,12 +78,12 @@
   report.Text =
       absl::StrCat("ticket ", ticket->Number.Value, " would be accepted\n");
   for (const ObjectChange &it : changes) {
-    document["changes"].push_back({{"kind", kindName(it.Key.Kind)},
+    document["changes"].push_back({{"kind", objectKindName(it.Key.Kind)},
                                    {"id", it.Key.Name},
                                    {"change", changeName(it.What)},
                                    {"held_by_ticket", it.From.Value}});
-    absl::StrAppend(&report.Text, "  ", kindName(it.Key.Kind), " ", it.Key.Name,
-                    ": ", changeName(it.What));
+    absl::StrAppend(&report.Text, "  ", objectKindName(it.Key.Kind), " ",
+                    it.Key.Name, ": ", changeName(it.What));
     if (it.From.Value > 0)
       absl::StrAppend(&report.Text, " (held by ticket ", it.From.Value, ")");
     absl::StrAppend(&report.Text, "\n");
--- a/Balsamrack/Configuration/TicketCodec.cpp
+++ b/Balsamrack/Configuration/TicketCodec.cpp
@@ -203,18 +203,6 @@
   return ticket;
 }
 
-const char *kindName(ObjectKind kind) {
-  switch (kind) {
-  case ObjectKind::Domain:
-    return "domain";
-  case ObjectKind::Service:
-    return "service";
-  case ObjectKind::Server:
-    return "server";
-  }
-  return "unknown";
-}
-
 json stateToJson(const FailureDomain &domain) {
   return {{"region", domain.Region.str()}, {"in_service", domain.InService}};
 }
@@ -240,7 +228,8 @@
 }
 
 json commonToJson(const ObjectState &object) {
-  json value{{"kind", kindName(object.Key.Kind)}, {"id", object.Key.Name}};
+  json value{{"kind", objectKindName(object.Key.Kind)},
+             {"id", object.Key.Name}};
   if (const auto *domain = std::get_if<FailureDomain>(&object.State))
     value["state"] = stateToJson(*domain);
   else if (const auto *service = std::get_if<Service>(&object.State))
@@ -273,6 +262,18 @@
   return ticket;
 }
 
+const char *objectKindName(ObjectKind kind) {
+  switch (kind) {
+  case ObjectKind::Domain:
+    return "domain";
+  case ObjectKind::Service:
+    return "service";
+  case ObjectKind::Server:
+    return "server";
+  }
+  return "unknown";
+}
+
 json objectToJson(const ObjectState &object) {
   json value = commonToJson(object);
   value["ticket"] = object.Ticket.Value;
--- a/Balsamrack/Configuration/TicketCodec.h
+++ b/Balsamrack/Configuration/TicketCodec.h
@@ -24,6 +24,9 @@
 /// "ticket". Thread-safe.
 nlohmann::json objectToJson(const ObjectState &object);
 
+/// Name of a kind of objects, as it stands in a ticket. Thread-safe.
+const char *objectKindName(ObjectKind kind);
+
 /// Reads what objectToJson wrote, with the same checks as a ticket's objects.
 /// Errors as parseTicket. Thread-safe.
 absl::StatusOr<ObjectState> objectFromJson(const nlohmann::json &value);
