--- a/Balsamrack/Decisions/ServerDispatchEnds.cpp
+++ b/Balsamrack/Decisions/ServerDispatchEnds.cpp
@@ -1,9 +1,5 @@
 #include "Balsamrack/Decisions/ServerAdmission.h"
 
-#include <algorithm>
-
-#include "absl/strings/str_cat.h"
-
 // The part of ServerAdmission that learns from the ends of dispatches.
 
 namespace balsamrack {
--- /dev/null
+++ b/PerformanceTest/packet-pathMain.cpp
@@ -0,0 +1,141 @@
+// packet-path: packets a second of one core through the packet carrier's path,
+// beside a loop that only receives and sends the same packets. Prints one line
+// a figure: name, value, unit.
+
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <vector>
+
+#include "Balsamrack/Packets/PacketRouter.h"
+#include "Balsamrack/Packets/PacketSocket.h"
+#include "platform/EchoPackets.h"
+
+namespace balsamrack {
+namespace {
+
+constexpr size_t Batches = 20'000;
+constexpr size_t HeadBytes = 31;
+constexpr size_t DataBytes = 100;
+constexpr size_t PacketsOfFlow = 8; ///< An opening, six packets, the end.
+const Address CallersAt{"127.0.0.1", 28711};
+const Address DaemonAt{"127.0.0.1", 28712};
+const Address ServerAt{"127.0.0.1", 28713};
+
+/// Packet number \p n of a long series of flows.
+std::vector<uint8_t> packetOf(uint64_t n, uint32_t token) {
+  uint64_t flow = n / PacketsOfFlow;
+  size_t step = n % PacketsOfFlow;
+  size_t data = step > 0 && step + 1 < PacketsOfFlow ? DataBytes : 0;
+  std::vector<uint8_t> packet(HeadBytes + data);
+  auto put = [&packet](size_t at, uint32_t value, size_t bytes) {
+    for (size_t i = 0; i < bytes; ++i)
+      packet[at + i] = static_cast<uint8_t>(value >> (8 * i));
+  };
+  put(4, static_cast<uint32_t>(data), 2);
+  put(6, 0xc6120001, 4);
+  put(10, static_cast<uint32_t>(flow % 60'000 + 1), 2);
+  put(12, 443, 2);
+  put(14, static_cast<uint32_t>(0x64400000 + flow / 60'000), 4);
+  put(18, step == 0 ? 0 : token, 4);
+  packet[22] = step == 0 ? 2 : step + 1 == PacketsOfFlow ? 32 | 64 : 32;
+  put(23, static_cast<uint32_t>(flow), 4);
+  return packet;
+}
+
+/// Sends what the router forwards, as the daemon does, to one server.
+class Sink final : public PacketSink {
+public:
+  Sink(PacketSocket &socket, const PacketCodec &codec)
+      : Socket(socket), Codec(codec) {}
+  void forward(const PacketTarget &to, const uint8_t *packet,
+               size_t n) override {
+    uint8_t *out = Socket.prepare(to.At, Codec.prefixBytes() + n);
+    Codec.writePrefix(out, to.Tag);
+    std::memcpy(out + Codec.prefixBytes(), packet, n);
+    Codec.writeToken(out + Codec.prefixBytes(), to.Token);
+  }
+  void reset(const PacketHead & /*head*/) override {}
+  void tell(const PacketEvent & /*event*/) override {}
+
+private:
+  PacketSocket &Socket;
+  const PacketCodec &Codec;
+};
+
+std::shared_ptr<const PacketRoutes> routes() {
+  auto made = std::make_shared<PacketRoutes>();
+  made->Routes[{0xc6120001, 443}] = {{{ServiceId("booking"), 1}},
+                                     {ServiceId("booking")}};
+  for (int i = 0; i < 14; ++i) {
+    auto what = std::make_shared<PublishedServer>();
+    what->Server.Id = ServerId("s" + std::to_string(i));
+    what->Server.Service = ServiceId("booking");
+    what->Server.Domain = DomainId("bern-a");
+    RoutedBackend server;
+    server.What = what;
+    server.At = Endpoint::of(ServerAt);
+    server.Token = tokenOf(what->Server.Id);
+    made->Servers.push_back(server);
+  }
+  return made;
+}
+
+/// Packets a second when \p take handles each.
+template <class Take>
+double measure(PacketSocket &callers, PacketSocket &daemon, Take take) {
+  std::chrono::steady_clock::duration spent{0};
+  uint64_t n = 0;
+  uint64_t done = 0;
+  uint32_t token = tokenOf(ServerId("s0"));
+  for (size_t batch = 0; batch < Batches; ++batch) {
+    for (size_t i = 0; i < PacketSocket::Batch; ++i) {
+      std::vector<uint8_t> packet = packetOf(n++, token);
+      std::memcpy(callers.prepare(Endpoint::of(DaemonAt), packet.size()),
+                  packet.data(), packet.size());
+    }
+    callers.flush();
+    auto began = std::chrono::steady_clock::now();
+    done += daemon.receive(take);
+    daemon.flush();
+    spent += std::chrono::steady_clock::now() - began;
+  }
+  return static_cast<double>(done) /
+         std::chrono::duration<double>(spent).count();
+}
+
+int run() {
+  auto callers = PacketSocket::open(CallersAt);
+  auto daemon = PacketSocket::open(DaemonAt);
+  auto server = PacketSocket::open(ServerAt);
+  if (!callers.ok() || !daemon.ok() || !server.ok()) {
+    std::fprintf(stderr, "packet-path: the ports 28711 to 28713 are taken\n");
+    return 1;
+  }
+  PacketSocket &out = **daemon;
+  double bare = measure(**callers, out, [&out](uint8_t *packet, size_t n) {
+    std::memcpy(out.prepare(Endpoint::of(ServerAt), n), packet, n);
+  });
+  platform::EchoPackets codec;
+  SeededRandom random(1);
+  PacketRouter router(PacketRouterSettings(), random);
+  SystemClock clock;
+  router.setRoutes(clock.now(), routes());
+  Sink sink(out, codec);
+  double routed = measure(**callers, out, [&](uint8_t *packet, size_t n) {
+    TimePoint now = clock.now();
+    if (auto head = codec.decode(packet, n))
+      router.packet(now, *head, packet, n, sink);
+    router.tick(now, sink);
+  });
+  std::printf("packets_bare %.0f per_second\n", bare);
+  std::printf("packets_routed %.0f per_second\n", routed);
+  std::printf("packets_routed_by_bare %.3f ratio\n", routed / bare);
+  return 0;
+}
+
+} // namespace
+} // namespace balsamrack
+
+int main() { return balsamrack::run(); }
