Pass the goodbye of an unknown daemon over

News that an unknown daemon has left are not kept, and the answer looked its sender up all the same. MembershipGoodbyeTest.FromAStrangerIsPassedOver failed first (the exception) and passes. Also: an unused parameter and function are gone. Membership, ownership, packet and news tests pass.

--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -167,10 +167,10 @@
 
 void NewsPart::stepMembership(TimePoint now, const MembershipEvent &event) {
   for (const MembershipAction &it : Members->step(now, event))
-    onMembership(now, it);
+    onMembership(it);
 }
 
-void NewsPart::onMembership(TimePoint now, const MembershipAction &action) {
+void NewsPart::onMembership(const MembershipAction &action) {
   if (const auto *to = std::get_if<SendTo>(&action)) {
     std::visit([&](const auto &content) { send(to->To, content); },
                to->Content);
@@ -192,7 +192,6 @@
     Incarnation next{later->News.Run.Value + 1};
     Tasks->post([this, next](TimePoint at) { restartAs(at, next); });
   }
-  (void)now;
 }
 
 void NewsPart::restartAs(TimePoint now, Incarnation run) {
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -68,7 +68,7 @@
   void wait();
   void received(TimePoint now, const Address &from, PeerMessage message);
   void stepMembership(TimePoint now, const MembershipEvent &event);
-  void onMembership(TimePoint now, const MembershipAction &action);
+  void onMembership(const MembershipAction &action);
   void restartAs(TimePoint now, Incarnation run);
   void onNews(TimePoint now, const std::vector<NewsAction> &actions);
   void startRead(const PublishedRead &read);
--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -46,7 +46,7 @@
 
 void PacketLane::setRoutes(std::shared_ptr<const PacketRoutes> routes) {
   std::lock_guard<std::mutex> hold(Lock);
-  Router.setRoutes(Time.now(), std::move(routes));
+  Router.setRoutes(std::move(routes));
 }
 
 void PacketLane::setFleet(size_t daemons, size_t self) {
--- a/Balsamrack/Membership/SwimMembership.cpp
+++ b/Balsamrack/Membership/SwimMembership.cpp
@@ -241,7 +241,10 @@
   Hints.forget(sender.Vm.Id);
   Table.heard(Now, sender.Vm.Id);
   takeChanges();
-  if (Table.self().State != MemberState::Left)
+  // Guards against the goodbye of a daemon that was never heard of here: the
+  // table keeps no news of it, and nobody waits for an answer.
+  bool known = Table.all().count(sender.Vm.Id) != 0;
+  if (known && Table.self().State != MemberState::Left)
     answer(sender.Vm, ping, started);
 }
 
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -42,8 +42,6 @@
   bool add(const KeptOpening &opening, TimePoint until);
   /// True when nothing waits.
   bool empty() const { return Waiting.empty(); }
-  /// Number of those that wait.
-  size_t size() const { return Waiting.size(); }
   /// The next one in turn. Precondition: not empty().
   const Held &front() const { return Waiting.front(); }
   /// Takes the next one out. Precondition: not empty().
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -19,8 +19,7 @@
     : Settings(settings), Random(random), Flows(settings.MaxFlows),
       Silence(settings.Silence) {}
 
-void PacketRouter::setRoutes(TimePoint /*now*/,
-                             std::shared_ptr<const PacketRoutes> routes) {
+void PacketRouter::setRoutes(std::shared_ptr<const PacketRoutes> routes) {
   assert(routes);
   Routes = std::move(routes);
   ServerTable::Change change = Servers.update(*Routes);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -57,7 +57,7 @@
   PacketRouter(const PacketRouterSettings &settings, RandomSource &random);
 
   /// From now on \p routes are in force. Never null.
-  void setRoutes(TimePoint now, std::shared_ptr<const PacketRoutes> routes);
+  void setRoutes(std::shared_ptr<const PacketRoutes> routes);
   /// There are \p daemons in the fleet, and this one is number \p self in the
   /// order of failure domain and id. Precondition: self < daemons.
   void setFleet(size_t daemons, size_t self);
--- a/PerformanceTest/packet-pathMain.cpp
+++ b/PerformanceTest/packet-pathMain.cpp
@@ -121,7 +121,7 @@
   SeededRandom random(1);
   PacketRouter router(PacketRouterSettings(), random);
   SystemClock clock;
-  router.setRoutes(clock.now(), routes());
+  router.setRoutes(routes());
   Sink sink(out, codec);
   double routed = measure(**callers, out, [&](uint8_t *packet, size_t n) {
     TimePoint now = clock.now();
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -48,6 +48,27 @@
   FleetLoop Fleet{FleetLoop::Options()}; ///< Under test.
 };
 
+// Story: a daemon leaves and says goodbye to one that has just started and
+// never heard of it. The starter ended with an exception, and its callers'
+// flows had to find another daemon. Cause: news that an unknown daemon has left
+// is of no use and not kept, and the answer looked its sender up all the same.
+TEST(MembershipGoodbyeTest, FromAStrangerIsPassedOver) {
+  auto members =
+      Membership::create(MembershipSettings(), vm("vm-1", "bern-a"), {7}, 1);
+  ASSERT_TRUE(members.ok());
+  TimePoint now{Second};
+  (*members)->step(now, MembershipTicked{});
+  EntryVm stranger = vm("vm-2", "bern-a");
+  stranger.Leaving = true;
+  for (MemberState state : {MemberState::Left, MemberState::Dead}) {
+    Ping goodbye{3, {stranger, {5}, 1, state}, {}};
+    for (const auto &action :
+         (*members)->step(now, MessageReceived{stranger, goodbye}))
+      EXPECT_FALSE(std::holds_alternative<SendTo>(action));
+    EXPECT_EQ((*members)->members().count(stranger.Id), 0U);
+  }
+}
+
 TEST_F(MembershipTest, EverybodyIsFound) {
   for (size_t i = 0; i < 9; ++i) {
     EXPECT_EQ(Fleet.nodes()[i]->Members->members().size(), 9U);
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -104,7 +104,7 @@
                          std::shared_ptr<const PublishedServer>(s)});
     }
     Book.serversChanged(Now, changed);
-    Router.setRoutes(Now, Book.snapshot(Now));
+    Router.setRoutes(Book.snapshot(Now));
   }
   /// Entries disappear.
   void gone(const std::vector<std::string> &ids) {
@@ -114,7 +114,7 @@
       changed.push_back(
           {PublishedSection::Servers, id, {++Revisions}, std::monostate()});
     Book.serversChanged(Now, changed);
-    Router.setRoutes(Now, Book.snapshot(Now));
+    Router.setRoutes(Book.snapshot(Now));
   }
   /// Four servers in two domains behind port 443.
   void usual() {
@@ -156,7 +156,7 @@
     for (TimePoint until = Now + span; Now < until;) {
       Now += Duration(5'000);
       if (Now >= Book.nextChange())
-        Router.setRoutes(Now, Book.snapshot(Now));
+        Router.setRoutes(Book.snapshot(Now));
       Router.tick(Now, Out);
     }
   }
@@ -177,7 +177,7 @@
 private:
   void publishOperators() {
     Book.setOperators(Now, Operators);
-    Router.setRoutes(Now, Book.snapshot(Now));
+    Router.setRoutes(Book.snapshot(Now));
   }
 
   static constexpr uint8_t Bytes[31] = {};
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -300,7 +300,7 @@
   PacketRouter router(settings, random);
   PacketBench source;
   source.usual();
-  router.setRoutes(source.Now, source.Router.routes());
+  router.setRoutes(source.Router.routes());
   RecordingSink out;
   const uint8_t bytes[31] = {};
   for (uint16_t port = 1; port <= 5; ++port) {
