Fill websocketpp's byte order static before any thread sends

One call before any connection fills it. Ruled out: our own locks (both stacks end in that function).

--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -332,6 +332,11 @@
 PeerDialer::create(const PeerTransportSettings &settings,
                    PeerListener &listener, TransportStats &stats,
                    boost::asio::io_context &context) {
+  // Guards against a race inside websocketpp: its byte order test fills a
+  // static on first use, from whichever threads send first. One thread does it
+  // here, before any other one sends.
+  static const uint64_t prepared = websocketpp::lib::net::_htonll(1);
+  (void)prepared;
   return std::make_unique<WebsocketDialer>(settings, listener, stats, context);
 }
 
