--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -115,7 +115,7 @@
   std::map<Endpoint, Dropped> DroppedRoutes;          ///< Not yet forgotten.
   std::map<ServerKey, Known> Servers;                 ///< Gone ones included.
   std::map<std::string, ServerKey> ServerByName;      ///< Names of objects.
-  TimePoint NextChange;                               ///< See nextChange().
+  TimePoint NextChange{Duration::max()};              ///< See nextChange().
 };
 
 } // namespace balsamrack
--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -239,6 +240,25 @@
   EXPECT_TRUE(awaitUntil(Second * 10, [&] { return isReady(2); }));
 }
 
+// Story: a daemon starts while the store and all its peers are gone. Until there
+// are news it has nothing to do, but it used up its processor's allotment by
+// looking for them without pause, and had none left for the callers that came
+// with the first news.
+TEST_F(PacketFleetTest, ADaemonWithoutNewsRests) {
+  Store->setMode(StandInStore::Mode::Silent);
+  for (auto &process : Processes) {
+    process->signal(SIGKILL);
+    ASSERT_TRUE(process->awaitEnd(Second * 5).ok());
+  }
+  startDaemon(0);
+  ASSERT_TRUE(logHas(0, "\"event\":\"started\""));
+  Duration before = Processes[0]->processorTime();
+  std::this_thread::sleep_for(Second * 2);
+  Duration used = Processes[0]->processorTime() - before;
+  EXPECT_FALSE(isReady(0));
+  EXPECT_LT(used, Second / 5) << used.count() << " us of two seconds";
+}
+
 // Story: all daemons are killed at once, and start again.
 TEST_F(PacketFleetTest, AllDaemonsComeBackTogether) {
   for (auto &process : Processes)
--- a/FailureTests/Process.cpp
+++ b/FailureTests/Process.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <thread>
 
 namespace balsamrack {
@@ -92,6 +93,16 @@
   return Code;
 }
 
+Duration Process::processorTime() const {
+  clockid_t clock;
+  timespec used{};
+  if (clock_getcpuclockid(Pid, &clock) != 0 || clock_gettime(clock, &used) != 0)
+    return Duration{0};
+  auto whole = std::chrono::seconds(used.tv_sec) +
+               std::chrono::nanoseconds(used.tv_nsec);
+  return std::chrono::duration_cast<Duration>(whole);
+}
+
 uint16_t freePort() {
   // Each test process begins elsewhere, so that two don't take one port.
   static uint16_t next = static_cast<uint16_t>(getpid() * 97 % PortCount);
--- a/FailureTests/Process.h
+++ b/FailureTests/Process.h
@@ -32,6 +32,8 @@
   /// Its exit code once it has ended within \p limit; minus the signal that
   /// ended it; error kDeadlineExceeded when it still runs.
   absl::StatusOr<int> awaitEnd(Duration limit);
+  /// Processor time that it has used so far; zero once it has ended.
+  Duration processorTime() const;
 
 private:
   explicit Process(pid_t pid) : Pid(pid) {}
