Let late openings give way after a loss of all daemons

Cause: when all daemons are back, those that call just now wait behind those that have called all along: copies of openings, and second attempts. An earlier try failed since it looked at a load that is smoothed over a second: the herd was over before it saw it. Change: an opening whose latency objective is over waits while the daemon's own slots are all at work (own flows, without the time of two handshakes, smoothed over 30 ms), and goes on while a quarter of its caller's patience is left. The usual time of a flow is taken from flows that were opened here: flows adopted near their end told 0 to 1 ms.

--- /dev/null
+++ b/Balsamrack/Decisions/LateOpenings.cpp
@@ -0,0 +1,41 @@
+#include "Balsamrack/Decisions/LateOpenings.h"
+
+#include <algorithm>
+
+namespace balsamrack {
+
+namespace {
+
+/// Callers give an attempt up when its opening has no answer for so long.
+constexpr Duration AttemptPatience{1'400'000};
+/// One part in so many of the patience is left for the work itself.
+constexpr int PartsOfPatience = 4;
+/// One before the work, one after it.
+constexpr int Handshakes = 2;
+/// Of a flow's time, should a handshake be measured longer than the flow.
+constexpr double LeastPartAtWork = 0.25;
+
+} // namespace
+
+Duration lateOpeningWait(const OpeningTimes &times) {
+  if (times.Objective == Duration{0} || times.Age < times.Objective)
+    return Duration{0};
+  Duration patience = AttemptPatience;
+  if (times.Timeout > Duration{0})
+    patience = std::min(patience, times.Timeout);
+  Duration most = patience - patience / PartsOfPatience;
+  return std::max(Duration{0}, most - times.Age);
+}
+
+bool slotsTaken(const OwnSlots &slots) {
+  double atWork = 1;
+  if (slots.FlowTime > Duration{0}) {
+    auto whole = static_cast<double>(slots.FlowTime.count());
+    auto work = static_cast<double>(
+        (slots.FlowTime - Handshakes * slots.Handshake).count());
+    atWork = std::max(work / whole, LeastPartAtWork);
+  }
+  return slots.Load * atWork >= 1;
+}
+
+} // namespace balsamrack
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -25,8 +25,8 @@
   bool keep(const PacketHead &head, const uint8_t *bytes, size_t n);
 };
 
-/// Openings that wait for the first news after a start or a pause. Bounded. Not
-/// thread-safe.
+/// Openings that wait: for the first news after a start or a pause, or for free
+/// slots. Bounded. Not thread-safe.
 class HeldOpenings {
 public:
   /// Half a second of a small site's openings at a daemon.
@@ -40,6 +40,8 @@
 
   /// Takes one in; false when there is no room.
   bool add(const KeptOpening &opening, TimePoint until);
+  /// Number of those that wait.
+  size_t size() const { return Waiting.size(); }
   /// True when nothing waits.
   bool empty() const { return Waiting.empty(); }
   /// The next one in turn. Precondition: not empty().
--- a/Balsamrack/Packets/OpeningTimeout.h
+++ b/Balsamrack/Packets/OpeningTimeout.h
@@ -23,6 +23,8 @@
 
   /// An opening was answered after \p took.
   void measured(Duration took);
+  /// The usual time from an opening to its answer; zero: nothing measured.
+  Duration usual() const { return Duration(static_cast<int64_t>(Mean)); }
   /// The current timeout.
   Duration value() const;
 
--- a/Balsamrack/Packets/Packet.h
+++ b/Balsamrack/Packets/Packet.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Balsamrack/Core/Address.h"
+#include "Balsamrack/Core/Time.h"
 
 namespace balsamrack {
 
@@ -59,6 +60,7 @@
   uint32_t Sequence = 0;     ///< Of its first byte.
   uint32_t Acknowledged = 0; ///< Bytes of the server that the caller has.
   uint8_t Copy = 0;          ///< Of an opening: zero for the first one.
+  Duration Age{0};           ///< Of an opening: since its first copy was sent.
   uint16_t DataBytes = 0;    ///< Bytes that follow the head.
   bool Opens = false;        ///< First packet of a flow, or a copy of it.
   bool Acknowledges = false; ///< Acknowledged counts.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "Balsamrack/Decisions/LateOpenings.h"
+
 namespace balsamrack {
 
 namespace {
@@ -71,9 +73,54 @@
                        NoServerIndex));
     return;
   }
+  if (letWait(now, head, bytes, n))
+    return;
   place(now, head, bytes, n, out);
 }
 
+bool PacketRouter::letWait(TimePoint now, const PacketHead &head,
+                           const uint8_t *bytes, size_t n) {
+  auto route = Routes->Routes.find(head.Flow.Service);
+  if (route == Routes->Routes.end())
+    return false;
+  Duration wait = lateOpeningWait(
+      {head.Age, route->second.Objective, route->second.Timeout});
+  if (wait == Duration{0} || !slotsTakenFor(now, head))
+    return false;
+  KeptOpening opening;
+  return opening.keep(head, bytes, n) && Late.add(opening, now + wait);
+}
+
+bool PacketRouter::slotsTakenFor(TimePoint now, const PacketHead &head) {
+  const ServiceId *service = serviceFor(head.Flow);
+  TabledService *of = service ? Servers.service(*service) : nullptr;
+  if (!of)
+    return false;
+  of->smooth(now);
+  return slotsTaken({of->BriefLoad, of->FlowTime, Timeout.usual()});
+}
+
+bool PacketRouter::knownAlready(const PacketHead &head) {
+  const RememberedFlow *flow = Flows.find(head.Flow);
+  return flow && flow->FirstSequence == head.Sequence;
+}
+
+void PacketRouter::goOnWithLate(TimePoint now, PacketSink &out) {
+  if (!Routes || Stale)
+    return;
+  // Each is looked at once; those that wait on keep their order.
+  for (size_t n = Late.size(); n > 0; --n) {
+    HeldOpenings::Held held = Late.take();
+    const KeptOpening &opening = held.Opening;
+    // A later copy may have gone on before it.
+    if (knownAlready(opening.Head))
+      continue;
+    bool waits = now < held.Until && slotsTakenFor(now, opening.Head);
+    if (!waits || !Late.add(opening, held.Until))
+      place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
+  }
+}
+
 bool PacketRouter::holdBack(TimePoint now, const PacketHead &head,
                             const uint8_t *bytes, size_t n, Duration most) {
   KeptOpening opening;
@@ -84,9 +131,8 @@
   while (Routes && !Stale && !Held.empty()) {
     HeldOpenings::Held held = Held.take();
     const KeptOpening &opening = held.Opening;
-    const RememberedFlow *flow = Flows.find(opening.Head.Flow);
     // A copy of one that went on before it.
-    if (flow && flow->FirstSequence == opening.Head.Sequence)
+    if (knownAlready(opening.Head))
       continue;
     place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
   }
@@ -173,7 +219,9 @@
   bool ends = head.Ends || head.Resets;
   if (ends && flow->Stage != FlowStage::Ending) {
     release(*flow);
-    if (flow->Stage == FlowStage::Open && head.Ends)
+    // Of an adopted flow it is not known when it was opened.
+    bool openedHere = flow->Tries > 0;
+    if (flow->Stage == FlowStage::Open && head.Ends && openedHere)
       Servers.serviceOf(flow->Home).flowEnded(now - flow->OpenedAt);
     flow->Stage = FlowStage::Ending;
     PacketEvent event = eventOf(head.Resets ? PacketEventKind::Abandoned
@@ -250,6 +298,7 @@
       openingDue(now, waiting, out);
   }
   goOnWithHeld(now, out);
+  goOnWithLate(now, out);
   Duration openKeep = Settings.OpenKeep;
   if (Routes && Routes->IdleTimeout > Duration{0})
     openKeep = std::min(openKeep, Routes->IdleTimeout);
@@ -315,6 +364,9 @@
 
 TimePoint PacketRouter::nextWakeup() const {
   TimePoint next = Waiting.empty() ? Never : Waiting.front().Due;
+  // Slots get free as packets come in, and each packet is followed by a tick.
+  if (!Late.empty() && Routes)
+    next = std::min(next, Late.front().Until);
   return std::min(next, Silence.nextDue());
 }
 
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -104,6 +104,11 @@
                size_t n, PacketSink &out);
   bool holdBack(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                 size_t n, Duration most);
+  bool letWait(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+               size_t n);
+  bool slotsTakenFor(TimePoint now, const PacketHead &head);
+  bool knownAlready(const PacketHead &head);
+  void goOnWithLate(TimePoint now, PacketSink &out);
   void place(TimePoint now, const PacketHead &head, const uint8_t *bytes,
              size_t n, PacketSink &out);
   void goOnWithHeld(TimePoint now, PacketSink &out);
@@ -147,7 +152,8 @@
   FlowMemory Flows;                           ///< Flows of this daemon.
   SilenceDetector Silence;                    ///< Who does not answer.
   OpeningTimeout Timeout;                     ///< For openings.
-  HeldOpenings Held;                          ///< Not placed yet.
+  HeldOpenings Held;                          ///< Wait for news.
+  HeldOpenings Late;                          ///< Wait for a free slot.
   std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
   std::vector<OpeningCandidate> Candidates;   ///< Reused between choices.
   size_t Daemons = 1;                         ///< Of the fleet.
--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -158,11 +158,12 @@
         made->ColdPerSecond[service.Id] = service.ColdPerSecond;
     for (const PublishedRoute &route : Configuration->Routes) {
       Endpoint end = Endpoint::of(route.At);
-      made->Routes[end] = {route.Targets, Allowed[end]};
+      made->Routes[end] = {route.Targets, Allowed[end], route.Objective,
+                           route.Timeout};
     }
   }
   for (const auto &[end, dropped] : DroppedRoutes)
-    made->Routes[end] = {{}, dropped.EverAllowed};
+    made->Routes[end] = {{}, dropped.EverAllowed, {}, {}};
   made->Servers.reserve(Servers.size());
   for (const auto &[key, known] : Servers) {
     const BackendServer &server = known.What->Server;
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -42,6 +42,8 @@
 struct RoutedRoute {
   std::vector<RouteTarget> Targets;   ///< For new flows; empty once dropped.
   std::vector<ServiceId> EverAllowed; ///< A token may name their servers.
+  Duration Objective{0};              ///< As published.
+  Duration Timeout{0};                ///< As published.
 };
 
 /// An immutable snapshot of where packets may go. Thread-safe.
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -11,6 +11,10 @@
 /// The load of a site moves within seconds; single flows last some tens of
 /// milliseconds.
 constexpr double SmoothingMicros = 1'000'000;
+/// About the work of one request: a herd after a loss of all daemons comes and
+/// goes within a second. With 100 ms half of the gain of late openings that
+/// wait is lost, in callers in time.
+constexpr double BriefSmoothingMicros = 30'000;
 /// Servers hold some eight requests more than they have slots, so that others
 /// are hardly fuller than this; a small share makes the own ratio jump.
 constexpr double MostLoad = 3;
@@ -43,6 +47,9 @@
   double weight =
       LoadAt == TimePoint{} ? 1 : 1 - std::exp(-since / SmoothingMicros);
   Load += weight * (sample - Load);
+  double brief =
+      LoadAt == TimePoint{} ? 1 : 1 - std::exp(-since / BriefSmoothingMicros);
+  BriefLoad += brief * (sample - BriefLoad);
   LoadAt = now;
 }
 
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -28,6 +28,7 @@
   uint32_t InProgress = 0; ///< Flows of this daemon, over all its servers.
   double Share = 0;        ///< Slots of this daemon, over all its servers.
   double Load = 0;         ///< InProgress by Share, smoothed.
+  double BriefLoad = 0;    ///< As Load, smoothed over a request's time only.
   TimePoint LoadAt;        ///< When Load was last moved.
   Duration FlowTime{0};    ///< Of a flow, smoothed; zero: none has ended yet.
 
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -25,6 +25,8 @@
 void fields(Ar &ar, typename Ar::template Ref<PublishedRoute> m) {
   ar("a", m.At);
   ar("t", m.Targets);
+  ar("l", m.Objective);
+  ar("d", m.Timeout);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/PublishedState.h
+++ b/Balsamrack/Published/PublishedState.h
@@ -31,6 +31,8 @@
 struct PublishedRoute {
   Address At;                       ///< What callers connect to.
   std::vector<RouteTarget> Targets; ///< At least one.
+  Duration Objective{0}; ///< Latency objective of its requests; zero: none.
+  Duration Timeout{0};   ///< Of its requests; zero: not given.
 };
 
 /// What operators say of a service, apart from its servers.
--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "Balsamrack/Decisions/LateOpenings.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Decisions/SilenceDetector.h"
 #include "Balsamrack/Decisions/SlotShares.h"
@@ -211,5 +212,55 @@
   EXPECT_EQ(last, SilenceSettings().LongestHold);
 }
 
+struct LateCase {
+  const char *Name;
+  OpeningTimes Times;
+  Duration Wait;
+};
+
+class EachLateOpening : public testing::TestWithParam<LateCase> {};
+
+TEST_P(EachLateOpening, WaitsAsLongAsItsCallersTimeAllows) {
+  EXPECT_EQ(lateOpeningWait(GetParam().Times), GetParam().Wait);
+}
+
+constexpr Duration Ms{1'000};
+INSTANTIATE_TEST_SUITE_P(
+    Openings, EachLateOpening,
+    testing::Values(
+        LateCase{"First", {Ms * 0, Ms * 150, Ms * 1500}, Ms * 0},
+        LateCase{"CopyInTime", {Ms * 200, Ms * 500, Ms * 5000}, Ms * 0},
+        LateCase{"NoObjective", {Ms * 200, Ms * 0, Ms * 5000}, Ms * 0},
+        LateCase{"LongTimeout", {Ms * 200, Ms * 150, Ms * 1500}, Ms * 850},
+        LateCase{"NoTimeout", {Ms * 200, Ms * 150, Ms * 0}, Ms * 850},
+        LateCase{"ShortTimeout", {Ms * 200, Ms * 100, Ms * 1000}, Ms * 550},
+        LateCase{"SecondCopy", {Ms * 600, Ms * 100, Ms * 1000}, Ms * 150},
+        LateCase{"TimeNearlyOver", {Ms * 600, Ms * 100, Ms * 700}, Ms * 0}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+struct SlotsCase {
+  const char *Name;
+  OwnSlots Slots;
+  bool Taken;
+};
+
+class EachOwnSlots : public testing::TestWithParam<SlotsCase> {};
+
+TEST_P(EachOwnSlots, AreTakenByWorkOnly) {
+  EXPECT_EQ(slotsTaken(GetParam().Slots), GetParam().Taken);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads, EachOwnSlots,
+    testing::Values(SlotsCase{"Idle", {0, Ms * 50, Ms * 8}, false},
+                    SlotsCase{"FullOfWork", {1, Ms * 50, Ms * 0}, true},
+                    SlotsCase{"NothingMeasured", {1, Ms * 0, Ms * 0}, true},
+                    SlotsCase{"HalfOnTheWay", {1.5, Ms * 32, Ms * 8}, false},
+                    SlotsCase{
+                        "HalfOnTheWayAndFull", {2, Ms * 32, Ms * 8}, true},
+                    SlotsCase{"OddMeasures", {3.9, Ms * 10, Ms * 30}, false},
+                    SlotsCase{"OddMeasuresFull", {4, Ms * 10, Ms * 30}, true}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -61,7 +61,7 @@
   /// Publishes the configuration: routes by port, each with its service.
   void configure(uint64_t version,
                  const std::vector<std::pair<uint16_t, std::string>> &routes,
-                 double coldPerSecond = 0) {
+                 double coldPerSecond = 0, Duration objective = Duration(0)) {
     auto made = std::make_shared<OperatorConfiguration>();
     made->Version = version;
     if (coldPerSecond > 0)
@@ -70,6 +70,7 @@
       PublishedRoute route;
       route.At = {"198.18.0.1", port};
       route.Targets = {{ServiceId(service), 1}};
+      route.Objective = objective;
       made->Routes.push_back(route);
     }
     Operators = {{PublishedSection::Operators,
@@ -125,6 +126,10 @@
              {"b4", "bern-b"}});
   }
 
+  /// When callers send the copies of an opening.
+  static Duration copyAge(uint8_t copy) {
+    return Duration(copy == 0 ? 0 : copy == 1 ? 200'000 : 600'000);
+  }
   /// The flow of a caller of its own.
   static FlowKey key(uint16_t callerPort, uint16_t port = 443) {
     return {{0x64400000U + callerPort, callerPort}, {0xc6120001, port}};
@@ -136,6 +141,7 @@
     head.Opens = true;
     head.Sequence = callerPort;
     head.Copy = copy;
+    head.Age = copyAge(copy);
     Router.packet(Now, head, Bytes, sizeof Bytes, Out);
     Router.tick(Now, Out);
   }
--- a/UnitTests/Packets/PacketLoadTest.cpp
+++ b/UnitTests/Packets/PacketLoadTest.cpp
@@ -26,6 +26,7 @@
     size_t Servers = 14;
     double PerSecond = 440; ///< Requests of all callers.
     bool Shares = true;     ///< Daemons know of each other.
+    bool LateWait = true;   ///< Late openings may be told from those in time.
     Duration AwayFrom{0};   ///< All daemons are away from here ...
     Duration AwayTo{0};     ///< ... to here, and forget everything.
     uint64_t Seed = 1;
@@ -126,7 +127,8 @@
     Benches[i] = std::make_unique<PacketBench>(Its.Seed * 100 + i);
     PacketBench &bench = *Benches[i];
     bench.Now = Now;
-    bench.configure(1, {{443, "booking"}});
+    bench.configure(1, {{443, "booking"}}, 0,
+                    Its.LateWait ? Objective : Duration(0));
     std::vector<PacketBench::ServerLine> lines;
     for (size_t s = 1; s <= Its.Servers; ++s)
       lines.push_back({"b" + std::to_string(s), "bern-a"});
@@ -181,6 +183,7 @@
     head.Opens = true;
     head.Sequence = static_cast<uint32_t>(id);
     head.Copy = copy;
+    head.Age = PacketBench::copyAge(copy);
     send(call.Daemon, head, id, false);
   }
   void send(size_t daemon, const PacketHead &head, uint64_t id, bool request) {
@@ -342,5 +345,37 @@
   EXPECT_GT(with, without * 95 / 100);
 }
 
+// Load: the same with a longer loss, at more than half load: openings of those
+// that have called all along, new calls, and second attempts come to more than
+// the servers bear. The baseline serves them in the order of arrival.
+TEST(PacketLoadTest, LateOpeningsGiveWayToThoseThatCanBeInTime) {
+  LoadedSite::Result first, second;
+  int lostWith = 0, lostWithout = 0;
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    LoadedSite::Options options;
+    options.Seed = seed;
+    options.PerSecond = 520;
+    options.AwayFrom = Duration(1'000'000);
+    options.AwayTo = Duration(2'300'000);
+    auto play = [&](LoadedSite::Result &sum, int &lost) {
+      LoadedSite::Result it = LoadedSite(options).play(
+          Duration(6'000'000), Duration(1'000'000), Duration(4'300'000));
+      sum.Asked += it.Asked;
+      sum.InTime += it.InTime;
+      sum.Late += it.Late;
+      lost += it.Asked - it.InTime - it.Late;
+    };
+    play(first, lostWith);
+    options.LateWait = false;
+    play(second, lostWithout);
+  }
+  printf("asked %d: in time %d, late %d, lost %d; in order of arrival %d, %d, "
+         "%d\n",
+         first.Asked, first.InTime, first.Late, lostWith, second.InTime,
+         second.Late, lostWithout);
+  EXPECT_GT(first.InTime, second.InTime * 103 / 100);
+  EXPECT_LE(lostWith, lostWithout + first.Asked / 100);
+}
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -54,6 +54,64 @@
   EXPECT_TRUE(bench.Out.Resets.empty());
 }
 
+// Story: all daemons were away, and their callers come back all at once. One
+// that has missed its objective gives way while all slots are taken, and is
+// served once one gets free.
+TEST(PacketRouterTest, ALateOpeningWaitsForAFreeSlot) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}}, 0, Duration(150'000));
+  bench.servers({{"b1", "bern-a"}});
+  for (uint16_t port = 1; port <= 3; ++port) {
+    bench.opens(port);
+    bench.speaks(port, bench.lastToken());
+  }
+  bench.pass(Duration(100'000));
+  size_t before = bench.Out.Sent.size();
+  bench.opens(4, 1);
+  EXPECT_EQ(bench.Out.Sent.size(), before) << "both slots are taken";
+  bench.opens(5);
+  EXPECT_EQ(bench.Out.Sent.size(), before + 1) << "in time, so it goes at once";
+  for (uint16_t port : {1, 2, 3})
+    bench.speaks(port, tokenOf(ServerId("b1")), 0, true);
+  bench.pass(Duration(100'000));
+  EXPECT_EQ(bench.Out.Sent.size(), before + 5) << "a slot got free";
+}
+
+// Story: as above, but no slot gets free. The waiting caller's time runs, and a
+// late answer is better than none.
+TEST(PacketRouterTest, ALateOpeningIsSentOnBeforeItsTimeIsOver) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}}, 0, Duration(150'000));
+  bench.servers({{"b1", "bern-a"}});
+  for (uint16_t port = 1; port <= 4; ++port) {
+    bench.opens(port);
+    bench.speaks(port, bench.lastToken());
+  }
+  bench.pass(Duration(100'000));
+  bench.opens(9, 1);
+  size_t before = bench.Out.Sent.size();
+  for (int i = 0; i < 8; ++i) {
+    for (uint16_t port = 1; port <= 4; ++port)
+      bench.speaks(port, tokenOf(ServerId("b1")));
+    bench.pass(Duration(100'000));
+  }
+  EXPECT_EQ(bench.Out.Sent.size(), before + 32) << "still waits at 0.8 s";
+  bench.pass(Duration(100'000));
+  EXPECT_EQ(bench.Out.Sent.size(), before + 33);
+}
+
+// Story: after a restart a daemon takes over flows that are nearly at their end
+// and takes the rest of their time for the usual time of a flow. It then thinks
+// that slots are free which are taken.
+TEST(PacketRouterTest, AnAdoptedFlowTellsNoFlowTime) {
+  PacketBench bench;
+  bench.usual();
+  bench.speaks(1, tokenOf(ServerId("b1")));
+  bench.speaks(1, tokenOf(ServerId("b1")), 0, true);
+  EXPECT_EQ(bench.Router.servers().services().at(ServiceId("booking")).FlowTime,
+            Duration(0));
+}
+
 // Story: two servers answer an opening, since the first one's answer was slow.
 // The caller takes the first answer, but the second one's token is on all its
 // later packets. They belong to the first server.
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -51,7 +51,9 @@
   auto c = std::make_shared<OperatorConfiguration>();
   c->Version = 7;
   c->Routes = {{{"198.18.0.1", 443},
-                {{ServiceId("booking"), 90}, {ServiceId("plans"), 10}}}};
+                {{ServiceId("booking"), 90}, {ServiceId("plans"), 10}},
+                Duration(150'000),
+                Duration(1'500'000)}};
   c->Services = {{ServiceId("booking"), 2.5}};
   c->IdleTimeout = Duration(15'000'000);
   return {PublishedSection::Operators,
--- a/UnitTests/UsersPlatform/EchoPacketsTest.cpp
+++ b/UnitTests/UsersPlatform/EchoPacketsTest.cpp
@@ -39,6 +39,7 @@
   auto head = EchoPackets().decode(copy.data(), copy.size());
   ASSERT_TRUE(head);
   EXPECT_EQ(head->Copy, 2);
+  EXPECT_EQ(head->Age, Duration(600'000));
 }
 
 TEST(EchoPacketsTest, WritesTheReset) {
--- a/UnitTests/UsersPlatform/StorePagesTest.cpp
+++ b/UnitTests/UsersPlatform/StorePagesTest.cpp
@@ -64,6 +64,9 @@
   EXPECT_EQ(c.Version, 7U);
   ASSERT_EQ(c.Routes.size(), 2U);
   EXPECT_EQ(c.Routes[0].At.str(), "198.18.0.1:8080");
+  EXPECT_EQ(c.Routes[0].Objective, Duration(200'000));
+  EXPECT_EQ(c.Routes[0].Timeout, Duration(2'000'000));
+  EXPECT_EQ(c.Routes[1].Objective, Duration(0)) << "not given";
   EXPECT_EQ(c.Routes[1].Targets,
             (std::vector<RouteTarget>{{ServiceId("huvo"), 90},
                                       {ServiceId("wuno"), 10}}));
