Repeat a claim while a hand-over, or the first meeting with peers, is under way

A first try that repeated whenever somebody had departed made BothGuardiansDied wait without need, and was narrowed. Of three new stories two fail without the guard, and the third plays that the wait ends.

--- a/Balsamrack/Flows/EntryPacket.h
+++ b/Balsamrack/Flows/EntryPacket.h
@@ -34,6 +34,8 @@
   TimePoint WakeAt;                      ///< Its entry among the timers.
   Phase Now = Phase::Claiming;           ///< What it waits for.
   KeyClaims Keys;                        ///< Used when claimsKey().
+  TimePoint ClaimUntil;                  ///< No claim is repeated after this.
+  bool AskAgain = false;                 ///< Claims are to be repeated.
   FlowSearch Search;                     ///< Used while Asking.
   std::optional<Outstanding> Unanswered; ///< Set while an owner has it.
   std::vector<ServerId> Tried;           ///< Servers that it was forwarded to.
--- a/Balsamrack/Flows/EntryPlacement.cpp
+++ b/Balsamrack/Flows/EntryPlacement.cpp
@@ -47,6 +47,13 @@
   wakeAt(p, std::min(p.Deadline, Now + Settings.ClaimTimeout));
 }
 
+void EntryRouter::State::repeatClaims(EntryPacket &p) {
+  for (const EntryVm &vm : p.Keys.askAgain())
+    Actions.emplace_back(SendClaim{vm, {p.Head.Key, p.Head.Request}});
+  wakeAt(p, std::min(p.Deadline, Now + Settings.ClaimTimeout));
+  judgeKeys(p);
+}
+
 void EntryRouter::State::judgeKeys(EntryPacket &p) {
   KeyClaims::Result result = p.Keys.judge(Settings);
   if (result == KeyClaims::Result::Waiting)
@@ -55,6 +62,15 @@
     explain(p, DecisionKind::KeyJudged, "key-granted", "may run", {}, {});
     return place(p);
   }
+  // Guards against a deposit that ends unknown during a rolling restart: one
+  // guardian has closed its memory and the other has not got what that one
+  // passes on, or this daemon has just started and met nobody. A moment later
+  // there is somebody who can vouch.
+  if (Now < p.ClaimUntil &&
+      p.Keys.mayStillBeGranted(View->Guardians, Settings)) {
+    p.AskAgain = true;
+    return wakeAt(p, std::min(p.Deadline, Now + Settings.ClaimRepeat));
+  }
   Reason why = p.Keys.why();
   explain(p, DecisionKind::KeyJudged, reasonName(why),
           p.Keys.anyUnanswered() ? "a guardian gave no answer" : "may not run",
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -75,6 +75,7 @@
   if (!p.claimsKey())
     return place(p);
   p.Now = EntryPacket::Phase::Claiming;
+  p.ClaimUntil = Now + Settings.ClaimTimeout;
   sendClaims(p);
   judgeKeys(p);
 }
@@ -189,6 +190,8 @@
   if (Now >= p.Deadline)
     return abandon(p, Reason::DeadlinePassed);
   if (p.Now == EntryPacket::Phase::Claiming) {
+    if (std::exchange(p.AskAgain, false))
+      return repeatClaims(p);
     p.Keys.timedOut();
     return judgeKeys(p);
   }
--- a/Balsamrack/Flows/EntryRouterState.h
+++ b/Balsamrack/Flows/EntryRouterState.h
@@ -62,6 +62,7 @@
   void forward(EntryPacket &p, const RoutedServer &server, bool accept,
                bool byToken, const char *rule);
   void sendClaims(EntryPacket &p);
+  void repeatClaims(EntryPacket &p);
   void wakeAt(EntryPacket &p, TimePoint when);
   FlowId rankBy(const EntryPacket &p) const;
   bool takeRetry(const EntryPacket &p);
--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -90,6 +90,11 @@
       it.Now = State::NoAnswer;
 }
 
+bool KeyClaims::isUnable(const Guardian &guardian) {
+  return guardian.Sent && guardian.Now == State::NoAnswer &&
+         guardian.Verdict == KeyVerdict::Unable;
+}
+
 const KeyClaims::Guardian *KeyClaims::firstThatKnows() const {
   for (const Guardian &it : Guardians)
     if (it.Now == State::Answered && knowsKey(it.Verdict))
@@ -147,6 +152,26 @@
                                             : Reason::KeyInProgress;
 }
 
+bool KeyClaims::mayStillBeGranted(const GuardianView &view,
+                                  const EntrySettings &settings) const {
+  if (firstThatKnows())
+    return false;
+  return view.Members.size() < settings.GuardianCount ||
+         std::any_of(Guardians.begin(), Guardians.end(), isUnable);
+}
+
+std::vector<EntryVm> KeyClaims::askAgain() {
+  std::vector<EntryVm> toAsk;
+  for (Guardian &it : Guardians) {
+    bool fresh = it.Now == State::Answered && it.Verdict == KeyVerdict::Fresh;
+    if (!isUnable(it) && !fresh)
+      continue;
+    it.Now = State::Waiting;
+    toAsk.push_back(it.Vm);
+  }
+  return toAsk;
+}
+
 std::vector<EntryVm> KeyClaims::claimed() const {
   std::vector<EntryVm> vms;
   for (const Guardian &it : Guardians)
--- a/UnitTests/Flows/KeyStoriesTest.cpp
+++ b/UnitTests/Flows/KeyStoriesTest.cpp
@@ -310,6 +310,59 @@
   EXPECT_EQ(bench.deposit(1, 2), "unknown/key-answered");
 }
 
+// Story: a rolling restart. A daemon has just started, the fabric sends it a
+// deposit, and it has not met its peers: it is the key's only guardian by its
+// own view and knows nothing of it. The deposit ended unknown at once, though a
+// moment later there is a guardian that can vouch for it.
+TEST(KeyStoriesTest, ADaemonThatHasMetNobodyWaitsForItsPeers) {
+  KeyBench bench(3);
+  bench.Guards[0] = bench.guard(bench.Now);
+  RoutingView alone = parts(4, 1);
+  bench.run(0, ViewChanged{*RoutingView::create(alone)});
+  EXPECT_EQ(bench.deposit(0, 1), "waiting");
+  bench.run(0, ViewChanged{bench.View});
+  EXPECT_EQ(bench.resultOf(1), "running");
+}
+
+// Story: as above, but no peer is ever met. The deposit may have run before the
+// restart, so it ends unknown, within the time of a claim.
+TEST(KeyStoriesTest, ADaemonThatMeetsNobodyRefusesSoon) {
+  KeyBench bench(3);
+  bench.Guards[0] = bench.guard(bench.Now);
+  RoutingView alone = parts(4, 1);
+  bench.run(0, ViewChanged{*RoutingView::create(alone)});
+  bench.deposit(0, 1);
+  for (int i = 0; i < 6; ++i) {
+    bench.Now += bench.Settings.ClaimRepeat;
+    bench.run(0, EntryTicked{});
+  }
+  EXPECT_EQ(bench.resultOf(1), "unknown/key-unknown");
+}
+
+// Story: a rolling restart. One guardian of a new key has closed its memory to
+// hand it over, the other has just started and not got it yet. The deposit
+// ended unknown; a moment later the hand-over is there.
+TEST(KeyStoriesTest, ANewKeyWaitsForAHandOver) {
+  KeyBench bench(2);
+  VmId leaver = bench.guardian(0);
+  VmId fresh = bench.guardian(1);
+  bench.Guards[KeyBench::indexOf(fresh)] = bench.guard(bench.Now);
+  GuardianView rest = bench.View->Guardians;
+  rest.Members.erase(
+      std::remove_if(rest.Members.begin(), rest.Members.end(),
+                     [&](const EntryVm &it) { return it.Id == leaver; }),
+      rest.Members.end());
+  auto batches = bench.Guards[KeyBench::indexOf(leaver)]->handOver(
+      bench.Now, rest, leaver, Incarnation{1}, 100);
+  EXPECT_EQ(bench.deposit(1, 1), "waiting");
+  for (const auto &it : batches)
+    bench.Guards[KeyBench::indexOf(it.To.Id)]->learn(bench.Now, it.Batch);
+  bench.kill(leaver);
+  bench.Now += bench.Settings.ClaimRepeat;
+  bench.run(1, EntryTicked{});
+  EXPECT_EQ(bench.resultOf(1), "running");
+}
+
 TEST(KeyGuardTest, RefusesRatherThanForgetsWhenFull) {
   KeyGuardSettings s;
   s.MaxKeys = 4;
