Tell callers at once when all servers are out of reach

Traced in the daemons' logs: every opening went to four silent servers one after the other, and was refused 0.6 s later at the earliest. Change: a server that is silent and has failed a connection attempt of ours since is out of reach; when all of a service are, a first opening is reset at once, with reason "unreachable". An attempt for which there was no socket proves nothing. Copies are not reset: another daemon may have opened their flow.

--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -152,7 +152,7 @@
     {
       std::lock_guard<std::mutex> hold(Lock);
       for (const AttemptResult &it : ended)
-        Router.attemptEnded(now, it.Server, it.Connected, *this);
+        Router.attemptEnded(now, it.Server, it.How, *this);
       takePackets(now);
       Router.tick(now, *this);
       due = Router.dueAttempts(now);
--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -80,10 +80,11 @@
   }
   bool was = record.Silent;
   record.Silent = false;
+  record.AttemptFailed = false;
   return was;
 }
 
-void SilenceDetector::attemptFailed(TimePoint now, size_t server) {
+void SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure) {
   auto it = Servers.find(server);
   if (it == Servers.end() || !asked(it->second))
     return;
@@ -93,6 +94,7 @@
     record.SilentSince = now;
     record.Hold = Settings.FirstHold;
   }
+  record.AttemptFailed = record.AttemptFailed || sure;
   record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
   record.NextAttempt = now + record.Hold;
 }
@@ -103,6 +105,11 @@
          (it->second.Silent || domainSilent(it->second.Domain));
 }
 
+bool SilenceDetector::unreachable(size_t server) const {
+  auto it = Servers.find(server);
+  return it != Servers.end() && it->second.Silent && it->second.AttemptFailed;
+}
+
 bool SilenceDetector::domainSilent(const DomainId &domain) const {
   auto it = Domains.find(domain);
   return it != Domains.end() && it->second.Silent;
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -54,11 +54,15 @@
   /// \p server answered an opening, or a connection attempt of ours; true when
   /// it was silent.
   bool answered(TimePoint now, size_t server);
-  /// A connection attempt of ours to \p server failed.
-  void attemptFailed(TimePoint now, size_t server);
+  /// A connection attempt of ours to \p server failed. \p sure: the server
+  /// refused it or was silent; else the attempt could not be made.
+  void attemptFailed(TimePoint now, size_t server, bool sure = true);
 
   /// True while \p server or its whole domain is silent.
   bool silent(size_t server) const;
+  /// True while \p server left callers' openings unanswered, or its domain did,
+  /// and then a connection attempt of ours too: a packet sent there is lost.
+  bool unreachable(size_t server) const;
   /// True while \p domain is silent as a whole.
   bool domainSilent(const DomainId &domain) const;
   /// Servers that should be asked by a connection attempt now; counts them as
@@ -72,14 +76,15 @@
 private:
   /// What is known of one server.
   struct Record {
-    DomainId Domain;         ///< Where it stands.
-    uint32_t Unanswered = 0; ///< Callers in a row.
-    uint32_t LastCaller = 0; ///< The last of them; zero: none.
-    TimePoint LastAnswer;    ///< Of it, to us.
-    TimePoint SilentSince;   ///< Meaningful while Silent.
-    bool Silent = false;     ///< Gets no new flows.
-    TimePoint NextAttempt;   ///< When to ask it, while Silent.
-    Duration Hold{0};        ///< Between attempts.
+    DomainId Domain;            ///< Where it stands.
+    uint32_t Unanswered = 0;    ///< Callers in a row.
+    uint32_t LastCaller = 0;    ///< The last of them; zero: none.
+    TimePoint LastAnswer;       ///< Of it, to us.
+    TimePoint SilentSince;      ///< Meaningful while Silent.
+    bool Silent = false;        ///< Gets no new flows.
+    bool AttemptFailed = false; ///< And took no connection since.
+    TimePoint NextAttempt;      ///< When to ask it, while Silent.
+    Duration Hold{0};           ///< Between attempts.
   };
   /// What is known of one domain.
   struct DomainRecord {
--- a/Balsamrack/Packets/ConnectionProber.cpp
+++ b/Balsamrack/Packets/ConnectionProber.cpp
@@ -32,7 +32,7 @@
   }
   if (fd >= 0)
     close(fd);
-  Results.push_back({attempt.Server, false});
+  Results.push_back({attempt.Server, AttemptEnd::NotAttempted});
 }
 
 void ConnectionProber::addTo(std::vector<pollfd> &polled) const {
@@ -63,7 +63,8 @@
         getsockopt(attempt.Fd, SOL_SOCKET, SO_ERROR, &error, &length) == 0 &&
         error == 0;
     close(attempt.Fd);
-    Results.push_back({attempt.Server, connected});
+    Results.push_back({attempt.Server,
+                       connected ? AttemptEnd::Connected : AttemptEnd::Failed});
     attempt = Attempts.back();
     Attempts.pop_back();
   }
--- a/Balsamrack/Packets/ConnectionProber.h
+++ b/Balsamrack/Packets/ConnectionProber.h
@@ -12,8 +12,8 @@
 
 /// How a connection attempt ended.
 struct AttemptResult {
-  ServerIndex Server = NoServerIndex; ///< Which server.
-  bool Connected = false;             ///< Whether it took the connection.
+  ServerIndex Server = NoServerIndex;        ///< Which server.
+  AttemptEnd How = AttemptEnd::NotAttempted; ///< How it ended.
 };
 
 /// Asks silent servers whether they are there: opens a TCP connection and
@@ -32,7 +32,7 @@
   ConnectionProber &operator=(const ConnectionProber &) = delete;
   ~ConnectionProber();
 
-  /// Begins an attempt. One that can't be begun counts as failed.
+  /// Begins an attempt. One that can't be begun ends as not attempted.
   void start(TimePoint now, const ConnectionAttempt &attempt);
   /// Adds what to poll for.
   void addTo(std::vector<pollfd> &polled) const;
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -12,9 +12,9 @@
 
 const char *packetReasonName(PacketReason reason) {
   static const char *const names[PacketReasons] = {
-      "none",          "no-route",      "no-server", "no-answer",
-      "unknown-token", "foreign-token", "no-token",  "not-ready",
-      "stale",         "malformed",     "copy"};
+      "none",        "no-route",      "no-server",     "no-answer",
+      "unreachable", "unknown-token", "foreign-token", "no-token",
+      "not-ready",   "stale",         "malformed",     "copy"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -32,6 +32,7 @@
   NoRoute,      ///< No route has this address.
   NoServer,     ///< The service has no server.
   NoAnswer,     ///< Every server that was tried left the opening unanswered.
+  Unreachable,  ///< Every server of the service is out of reach.
   UnknownToken, ///< The token names no server that is known here.
   ForeignToken, ///< The token names a server that the route never allowed.
   NoToken,      ///< A packet of an unknown flow without a token.
@@ -41,7 +42,7 @@
   Copy,         ///< A copy of the opening that was sent on already.
 };
 /// Number of reasons.
-constexpr size_t PacketReasons = 11;
+constexpr size_t PacketReasons = 12;
 
 /// Names in lower case with hyphens. Thread-safe.
 const char *packetEventName(PacketEventKind kind);
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -50,6 +50,13 @@
     refuse(head, PacketReason::NoRoute, out);
     return;
   }
+  // Guards against callers that wait until their time is over for servers that
+  // are all out of reach: told at once, they can come back or go elsewhere. A
+  // later copy is no new call: another daemon may have opened its flow.
+  if (head.Copy == 0 && allUnreachable(*service)) {
+    refuse(head, PacketReason::Unreachable, out);
+    return;
+  }
   RememberedFlow spare;
   auto to = choose(now, *service, spare);
   if (!to) {
@@ -69,6 +76,14 @@
     release(spare);
 }
 
+bool PacketRouter::allUnreachable(const ServiceId &service) {
+  const TabledService *of = Servers.service(service);
+  return of && std::all_of(of->TakeNew.begin(), of->TakeNew.end(),
+                           [this](ServerIndex index) {
+                             return Silence.unreachable(index);
+                           });
+}
+
 bool PacketRouter::sendElsewhere(TimePoint now, RememberedFlow &flow,
                                  const PacketHead &head, const uint8_t *bytes,
                                  size_t n, PacketSink &out) {
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -267,13 +267,13 @@
 }
 
 void PacketRouter::attemptEnded(TimePoint now, ServerIndex server,
-                                bool connected, PacketSink &out) {
+                                AttemptEnd how, PacketSink &out) {
   if (server >= Servers.all().size() || !Servers.at(server).Used)
     return;
-  if (connected)
+  if (how == AttemptEnd::Connected)
     answeredBy(now, server, out);
   else
-    Silence.attemptFailed(now, server);
+    Silence.attemptFailed(now, server, how == AttemptEnd::Failed);
 }
 
 std::vector<ConnectionAttempt> PacketRouter::dueAttempts(TimePoint now) {
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -41,6 +41,13 @@
   Endpoint At;                        ///< Where to connect to.
 };
 
+/// How a connection attempt ended.
+enum class AttemptEnd {
+  Connected,    ///< The server took the connection.
+  Failed,       ///< It refused it, or did not answer in time.
+  NotAttempted, ///< This daemon had no socket for it; nothing is known.
+};
+
 /// Where a packet goes. Takes heads of packets, gives actions to a PacketSink;
 /// clock and random numbers are handed in, so that the same input gives the
 /// same actions. Not thread-safe.
@@ -77,8 +84,8 @@
 
   /// Servers to be asked now. Each needs an attemptEnded().
   std::vector<ConnectionAttempt> dueAttempts(TimePoint now);
-  /// A connection to \p server came about, or not.
-  void attemptEnded(TimePoint now, ServerIndex server, bool connected,
+  /// An attempt to connect to \p server has ended.
+  void attemptEnded(TimePoint now, ServerIndex server, AttemptEnd how,
                     PacketSink &out);
 
   /// Number of remembered flows.
@@ -135,6 +142,7 @@
   bool triedDomain(const RememberedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
   PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
+  bool allUnreachable(const ServiceId &service);
   void forward(ServerIndex to, const uint8_t *bytes, size_t n,
                PacketSink &out) const;
   void refuse(const PacketHead &head, PacketReason why, PacketSink &out);
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -151,7 +151,8 @@
     // A few flows stay open, so that the own domain is busy.
     bench.speaks(port, bench.lastToken(), 100, port > 6);
     for (const ConnectionAttempt &it : bench.Router.dueAttempts(bench.Now))
-      bench.Router.attemptEnded(bench.Now, it.Server, false, bench.Out);
+      bench.Router.attemptEnded(bench.Now, it.Server, AttemptEnd::Failed,
+                                bench.Out);
   }
   size_t wasted = 0;
   for (const auto &sent : bench.Out.Sent)
@@ -169,11 +170,51 @@
   ASSERT_EQ(bench.Router.silentServers(), 1U);
   auto due = bench.Router.dueAttempts(bench.Now);
   ASSERT_EQ(due.size(), 1U);
-  bench.Router.attemptEnded(bench.Now, due[0].Server, true, bench.Out);
+  bench.Router.attemptEnded(bench.Now, due[0].Server, AttemptEnd::Connected,
+                            bench.Out);
   EXPECT_EQ(bench.Router.silentServers(), 0U);
   EXPECT_TRUE(bench.Out.told(PacketEventKind::ServerBack, PacketReason::None));
 }
 
+// Story: operators take a failure domain out, and it is cut off from the others
+// at the same time. Its callers can't be served, and each waited until its time
+// was over. Once the servers out of reach have refused connections too, callers
+// are told at once; as soon as one is back, they are served.
+TEST(PacketRouterTest, CallersAreToldAtOnceThatAllServersAreOutOfReach) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}});
+  bench.servers({{"b1", "bern-b"}, {"b2", "bern-b"}});
+  for (uint16_t port = 1; port <= 4; ++port)
+    bench.opens(port);
+  bench.pass(Duration(100'000));
+  bench.opens(5);
+  EXPECT_EQ(bench.lastTag() != 0, true) << "silent, but not yet asked by us";
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  auto endAttempts = [&](AttemptEnd how) {
+    for (const ConnectionAttempt &it : bench.Router.dueAttempts(bench.Now))
+      bench.Router.attemptEnded(bench.Now, it.Server, how, bench.Out);
+  };
+  endAttempts(AttemptEnd::NotAttempted);
+  bench.opens(6);
+  EXPECT_TRUE(bench.Out.Resets.empty()) << "nothing is known";
+  bench.pass(Duration(900'000));
+  endAttempts(AttemptEnd::Failed);
+  size_t sent = bench.Out.Sent.size();
+  size_t resets = bench.Out.Resets.size();
+  bench.opens(7);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
+  EXPECT_EQ(bench.Out.Sent.size(), sent) << "so it is true that nothing ran";
+  EXPECT_TRUE(
+      bench.Out.told(PacketEventKind::Refused, PacketReason::Unreachable));
+  bench.opens(8, 1);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1) << "its flow may be open";
+  bench.pass(Duration(900'000));
+  endAttempts(AttemptEnd::Connected);
+  bench.opens(9);
+  EXPECT_NE(bench.lastTag(), 0U);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
+}
+
 /// Packets that must not reach a server, and what happens to them.
 struct NotForwarded {
   const char *Name;
