Add a fault soak of the packet carrier

Four daemons as processes behind proxies for datagrams and for the way to the store; thirteen kinds of faults in overlapping series from a seed; promises checked from what callers and servers see (docs/design/soak.md, with what it can't do). Stand-in callers keep flows open for several requests and send them again; relays lose answers, delay and reset.

--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -111,7 +111,9 @@
   /// Asks as the fabric does.
   bool isReady(size_t i) const;
   CallResult::End call(int moveTo = -1) {
-    return Caller->call(Booking, moveTo).How;
+    platform::CallPlan plan;
+    plan.MoveTo = moveTo;
+    return Caller->call(Booking, plan).How;
   }
   std::string logOf(size_t i) const {
     std::ifstream file(settingsPath(i) + ".log");
@@ -240,10 +242,10 @@
   EXPECT_TRUE(awaitUntil(Second * 10, [&] { return isReady(2); }));
 }
 
-// Story: a daemon starts while the store and all its peers are gone. Until there
-// are news it has nothing to do, but it used up its processor's allotment by
-// looking for them without pause, and had none left for the callers that came
-// with the first news.
+// Story: a daemon starts while the store and all its peers are gone. Until
+// there are news it has nothing to do, but it used up its processor's allotment
+// by looking for them without pause, and had none left for the callers that
+// came with the first news.
 TEST_F(PacketFleetTest, ADaemonWithoutNewsRests) {
   Store->setMode(StandInStore::Mode::Silent);
   for (auto &process : Processes) {
--- a/FailureTests/Relay.cpp
+++ b/FailureTests/Relay.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 #include "FailureTests/Process.h"
@@ -16,6 +17,7 @@
 
 constexpr int PollMs = 20;
 constexpr int Backlog = 64;
+constexpr std::chrono::milliseconds AnswerDelay{100};
 
 sockaddr_in rawAddress(const Address &at) {
   sockaddr_in raw{};
@@ -25,10 +27,12 @@
   return raw;
 }
 
-// Passes on what has come; false when either side has closed.
-bool passSome(int from, int to) {
+// Passes on what has come, or drops it; false when either side has closed.
+bool passSome(int from, int to, bool drop) {
   std::array<char, 16384> buf{};
   ssize_t n = recv(from, buf.data(), buf.size(), MSG_DONTWAIT);
+  if (drop)
+    return n != 0;
   for (ssize_t sent = 0; sent < n;) {
     ssize_t part = send(to, buf.data() + sent, n - sent, MSG_NOSIGNAL);
     if (part <= 0)
@@ -38,6 +42,13 @@
   return n != 0;
 }
 
+// Closes \p fd so that its peer sees a reset.
+void closeByReset(int fd) {
+  linger now{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  close(fd);
+}
+
 } // namespace
 
 Relay::Relay(const Address &listen, Address to) : To(std::move(to)) {
@@ -63,7 +74,7 @@
 void Relay::accept() {
   pollfd ready{Listener, POLLIN, 0};
   while (!Stopped) {
-    if (Cut) {
+    if (Now == Mode::Cut) {
       shortPause();
       continue;
     }
@@ -80,19 +91,25 @@
   int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at = rawAddress(To);
   bool open = connect(to, reinterpret_cast<sockaddr *>(&at), sizeof(at)) == 0;
-  while (open && !Stopped) {
-    if (Cut) {
+  while (open && !Stopped && Now != Mode::Resets) {
+    if (Now == Mode::Cut) {
       shortPause();
       continue;
     }
     std::array<pollfd, 2> ready{{{from, POLLIN, 0}, {to, POLLIN, 0}}};
     poll(ready.data(), ready.size(), PollMs);
     if (ready[0].revents != 0)
-      open = passSome(from, to);
-    if (open && ready[1].revents != 0)
-      open = passSome(to, from);
+      open = passSome(from, to, false);
+    if (open && ready[1].revents != 0) {
+      if (Now == Mode::Delayed)
+        std::this_thread::sleep_for(AnswerDelay);
+      open = passSome(to, from, Now == Mode::AnswersLost);
+    }
   }
-  close(from);
+  if (Now == Mode::Resets)
+    closeByReset(from);
+  else
+    close(from);
   close(to);
 }
 
--- /dev/null
+++ b/Soak/FaultyLink.h
@@ -0,0 +1,82 @@
+#ifndef BALSAMRACK_SOAK_FAULTYLINK_H
+#define BALSAMRACK_SOAK_FAULTYLINK_H
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <queue>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include "Balsamrack/Core/Address.h"
+#include "Balsamrack/Core/ListenSocket.h"
+#include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Core/Time.h"
+#include "absl/status/statusor.h"
+
+namespace balsamrack::soak {
+
+/// How a link harms datagrams. Shares are per thousand.
+struct LinkHarm {
+  uint32_t Lost = 0;    ///< Vanish.
+  uint32_t Doubled = 0; ///< Come twice.
+  uint32_t Late = 0;    ///< Come up to 30 ms late, behind others.
+};
+
+/// A loopback proxy for datagrams in one direction, which is all that a packet
+/// carrier needs: answers go straight back. May also take TCP connections at
+/// its address, as the server behind it would. Thread-safe.
+class FaultyLink {
+public:
+  /// Passes datagrams that come to \p at on to \p to; with \p takesTcp it also
+  /// takes connections. Error (step listen) when the address is taken.
+  static absl::StatusOr<std::unique_ptr<FaultyLink>>
+  create(const Address &at, const Address &to, bool takesTcp, uint64_t seed);
+  ~FaultyLink();
+  FaultyLink(const FaultyLink &) = delete;
+  FaultyLink &operator=(const FaultyLink &) = delete;
+
+  /// Harms what comes from now on.
+  void setHarm(const LinkHarm &harm);
+  /// Drops everything, and refuses connections, or no longer.
+  void setSilent(bool silent) { Silent = silent; }
+  /// Drops what comes from \p ip, or no longer.
+  void setCutFrom(const std::string &ip, bool cut);
+
+private:
+  struct Waiting {
+    TimePoint Due;
+    std::vector<uint8_t> Bytes;
+    friend bool operator>(const Waiting &a, const Waiting &b) {
+      return a.Due > b.Due;
+    }
+  };
+
+  FaultyLink(int fd, Address at, const Address &to, bool takesTcp,
+             uint64_t seed);
+  void run();
+  void takeDatagrams(TimePoint now);
+  void takeConnections();
+  void pass(const std::vector<uint8_t> &bytes) const;
+
+  const int Fd;
+  const Address At;
+  const Address To;
+  const bool TakesTcp;
+  std::atomic<bool> Silent{false};
+  std::atomic<bool> Stopping{false};
+  std::mutex Lock; ///< Guards what follows.
+  LinkHarm Harm;
+  std::set<uint32_t> CutFrom;
+  SeededRandom Random; ///< The thread's own, as all that follows.
+  std::priority_queue<Waiting, std::vector<Waiting>, std::greater<Waiting>>
+      Later;
+  std::unique_ptr<ListenSocket> Listener; ///< Null while it refuses.
+  std::thread Loop;
+};
+
+} // namespace balsamrack::soak
+
+#endif // BALSAMRACK_SOAK_FAULTYLINK_H
--- /dev/null
+++ b/Soak/SoakCallers.cpp
@@ -0,0 +1,81 @@
+#include "Soak/SoakCallers.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace balsamrack::soak {
+
+namespace {
+
+constexpr size_t Callers = 8;
+/// Every fourth caller keeps its flow open for some requests.
+constexpr size_t SessionEvery = 4;
+constexpr int SessionRequests = 8;
+constexpr Duration SessionPause{200'000};
+constexpr Duration BetweenCalls{10'000};
+constexpr uint64_t PlansShare = 4;
+
+} // namespace
+
+SoakCallers::SoakCallers(SoakFleet &fleet, uint64_t seed) : Fleet(fleet) {
+  for (size_t i = 0; i < Callers; ++i)
+    Threads.emplace_back([this, i, seed] { run(i, seed + i); });
+}
+
+SoakCallers::~SoakCallers() { stop(); }
+
+void SoakCallers::stop() {
+  Stopping = true;
+  for (std::thread &it : Threads)
+    if (it.joinable())
+      it.join();
+}
+
+CallCounts SoakCallers::counts() const {
+  std::lock_guard<std::mutex> hold(Lock);
+  return Counts;
+}
+
+std::vector<std::string> SoakCallers::broken() const {
+  std::lock_guard<std::mutex> hold(Lock);
+  return Broken;
+}
+
+void SoakCallers::run(size_t caller, uint64_t seed) {
+  SeededRandom random(seed);
+  auto mouth = platform::StandInCaller::create(
+      {absl::StrCat("127.1.5.", caller + 1), Fleet.callerPort()},
+      Fleet.fabric());
+  if (!mouth.ok()) {
+    std::lock_guard<std::mutex> hold(Lock);
+    Broken.push_back("the soak itself: a caller can't start");
+    return;
+  }
+  (*mouth)->setFabric([this] { return Fleet.fabric(); });
+  platform::CallPlan plan;
+  plan.Again = true;
+  if (caller % SessionEvery == 0) {
+    plan.Requests = SessionRequests;
+    plan.Pause = SessionPause;
+  }
+  while (!Stopping) {
+    bool plans = random.below(PlansShare) == 0;
+    note(caller, (*mouth)->call(plans ? Plans : Booking, plan));
+    std::this_thread::sleep_for(BetweenCalls);
+  }
+}
+
+void SoakCallers::note(size_t caller, const platform::CallResult &result) {
+  using End = platform::CallResult::End;
+  std::lock_guard<std::mutex> hold(Lock);
+  ++Counts.Calls;
+  Counts.Answered += result.How == End::Answered ? 1 : 0;
+  Counts.Reset += result.How == End::Reset ? 1 : 0;
+  Counts.TimedOut += result.How == End::TimedOut ? 1 : 0;
+  // Both routes stay all the time, so no flow may be reset by a balancer once
+  // it is open, whatever happens to servers, daemons, store and links.
+  if (result.How == End::Reset && result.Opened && !result.ServerReset)
+    Broken.push_back(absl::StrCat("caller ", caller,
+                                  ": an open flow was reset by a balancer"));
+}
+
+} // namespace balsamrack::soak
--- /dev/null
+++ b/Soak/packet-soakMain.cpp
@@ -0,0 +1,111 @@
+// packet-soak: real daemons of the packet carrier under overlapping series of
+// faults from outside, drawn from a seed, while callers and servers check what
+// they were promised. Ends by itself, and ends only what it started.
+
+#include <filesystem>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "Soak/CalmChecks.h"
+#include "Soak/SoakCallers.h"
+#include "Soak/SoakFaults.h"
+#include "absl/strings/str_cat.h"
+
+namespace balsamrack::soak {
+namespace {
+
+constexpr int Good = 0;
+constexpr int BrokenPromise = 1;
+constexpr int WrongUsage = 2;
+constexpr Duration StartLimit{15'000'000};
+constexpr Duration Step{10'000};
+
+void addAll(std::vector<std::string> &to,
+            const std::vector<std::string> &from) {
+  to.insert(to.end(), from.begin(), from.end());
+}
+
+std::vector<std::string> play(uint64_t seed, Duration length,
+                              const std::string &folder) {
+  auto fleet = SoakFleet::start(folder, seed);
+  if (!fleet.ok())
+    return {absl::StrCat("the soak itself: ",
+                         std::string(fleet.status().message()))};
+  if (!(*fleet)->awaitAllReady(StartLimit))
+    return {"the daemons don't get ready"};
+  SystemClock clock;
+  SoakCallers callers(**fleet, seed * 1000);
+  SoakFaults faults(**fleet, seed, clock.now(), length);
+  while (faults.step(clock.now()))
+    std::this_thread::sleep_for(Step);
+  std::vector<std::string> broken = checkCalm(**fleet);
+  callers.stop();
+  addAll(broken, faults.broken());
+  addAll(broken, callers.broken());
+  if (uint64_t n = (*fleet)->strangers())
+    broken.push_back(absl::StrCat(n, " packets reached the wrong service"));
+  addAll(broken, checkLogs(**fleet));
+  CallCounts seen = callers.counts();
+  std::cout << "seed " << seed << ": calls " << seen.Calls << ", answered "
+            << seen.Answered << ", reset " << seen.Reset << ", timed out "
+            << seen.TimedOut << "; faults";
+  for (const auto &[kind, n] : faults.counts())
+    std::cout << " " << kind << " " << n;
+  std::cout << "; broken promises " << broken.size() << "\n";
+  return broken;
+}
+
+int run(int argc, char **argv) {
+  cxxopts::Options options("packet-soak",
+                           "Exit codes: 0 all promises kept, 1 one is broken "
+                           "(seed and logs are kept), 2 wrong usage.");
+  options.add_options()("seed", "first seed",
+                        cxxopts::value<uint64_t>()->default_value("1"))(
+      "seeds", "how many, one after the other",
+      cxxopts::value<uint64_t>()->default_value("1"))(
+      "seconds", "of faults, a seed",
+      cxxopts::value<uint64_t>()->default_value("20"))(
+      "folder", "for logs",
+      cxxopts::value<std::string>()->default_value("soak-logs"))(
+      "h,help", "print this help");
+  const cxxopts::ParseResult parsed = options.parse(argc, argv);
+  if (parsed.count("help")) {
+    std::cout << options.help();
+    return Good;
+  }
+  Duration length = std::chrono::seconds(parsed["seconds"].as<uint64_t>());
+  auto first = parsed["seed"].as<uint64_t>();
+  auto seeds = parsed["seeds"].as<uint64_t>();
+  uint64_t failed = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    std::string folder =
+        absl::StrCat(parsed["folder"].as<std::string>(), "/seed-", seed);
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    std::vector<std::string> broken = play(seed, length, folder);
+    for (const std::string &what : broken)
+      std::cout << "seed " << seed << ": BROKEN: " << what << "\n";
+    if (broken.empty())
+      std::filesystem::remove_all(folder);
+    else
+      std::cout << "seed " << seed << ": logs are kept in " << folder << "\n";
+    failed += broken.empty() ? 0 : 1;
+  }
+  std::cout << "soak: " << seeds - failed << " of " << seeds
+            << " seeds kept all promises\n";
+  return failed == 0 ? Good : BrokenPromise;
+}
+
+} // namespace
+} // namespace balsamrack::soak
+
+int main(int argc, char **argv) {
+  // cxxopts tells wrong usage by exceptions.
+  try {
+    return balsamrack::soak::run(argc, argv);
+  } catch (const std::exception &error) {
+    std::cerr << "packet-soak: " << error.what() << "; see --help\n";
+    return balsamrack::soak::WrongUsage;
+  }
+}
