--- a/Soak/packet-soakMain.cpp
+++ b/Soak/packet-soakMain.cpp
@@ -68,7 +68,7 @@
       cxxopts::value<uint64_t>()->default_value("20"))(
       "folder", "for logs",
       cxxopts::value<std::string>()->default_value("soak-logs"))(
-      "h,help", "print this help");
+      "keep", "keep the logs of good seeds too")("h,help", "print this help");
   const cxxopts::ParseResult parsed = options.parse(argc, argv);
   if (parsed.count("help")) {
     std::cout << options.help();
@@ -86,7 +86,7 @@
     std::vector<std::string> broken = play(seed, length, folder);
     for (const std::string &what : broken)
       std::cout << "seed " << seed << ": BROKEN: " << what << "\n";
-    if (broken.empty())
+    if (broken.empty() && parsed.count("keep") == 0)
       std::filesystem::remove_all(folder);
     else
       std::cout << "seed " << seed << ": logs are kept in " << folder << "\n";
