Let operators ask a packet daemon about flows, placings and servers

The users want every decision askable; on the packet carrier only logs existed. PacketRouter::explain tells what is known of a flow and where a first opening of it would go, by the same candidates and costs as the placing, without a random number; the metrics' port answers status, servers, explain and where in the HTTP carrier's form, so that balsamctl asks both carriers. Tests: in 300 placings under changing state the told best servers held what then happened (WhatIsToldOfAPlacingIsWhatHappens); real daemons asked by the operators' client (OperatorsAskAboutAFlow).

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -22,6 +22,9 @@
 constexpr Duration QuietSpan{400'000};
 constexpr Duration LingerStep{50'000};
 
+/// Whoever reaches the metrics' address may read there; nothing can be changed.
+constexpr const char *Everybody = "0.0.0.0/0";
+
 HttpListenerSettings portAt(const Address &at) {
   HttpListenerSettings settings;
   settings.At = at;
@@ -98,9 +101,9 @@
   ReadyPort = *std::move(ready);
   if (Settings.Metrics.Port == 0)
     return absl::OkStatus();
-  auto metrics = HttpListener::create(
-      portAt(Settings.Metrics),
-      [this](const std::string &, const Message &) { return answerMetrics(); });
+  Operators = std::make_unique<PacketOperatorPart>(Settings, *Lane, Watch);
+  auto metrics =
+      OperatorPort::create(Settings.Metrics, {Everybody}, *Operators);
   if (!metrics.ok())
     return metrics.status();
   MetricsPort = *std::move(metrics);
@@ -115,12 +118,6 @@
   return {ready() ? HttpOk : HttpUnavailable, {}, ""};
 }
 
-Answer PacketDaemon::answerMetrics() const {
-  return {HttpOk,
-          {{"Content-Type", "text/plain; version=0.0.4"}},
-          Watch.prometheus()};
-}
-
 void PacketDaemon::routesChanged(std::shared_ptr<const PacketRoutes> routes) {
   Lane->setRoutes(std::move(routes));
   if (!HasRoutes.exchange(true))
--- a/Balsamrack/Daemon/PacketDaemon.h
+++ b/Balsamrack/Daemon/PacketDaemon.h
@@ -6,6 +6,7 @@
 
 #include "Balsamrack/Daemon/NewsPart.h"
 #include "Balsamrack/Daemon/PacketLane.h"
+#include "Balsamrack/Daemon/PacketOperatorPart.h"
 #include "Balsamrack/Http/HttpListener.h"
 #include "Balsamrack/Settings/PacketSettings.h"
 
@@ -48,7 +49,6 @@
   void fleetChanged(size_t daemons, size_t self) override;
   void refreshed() override;
   Answer answerReady(const Message &message) const;
-  Answer answerMetrics() const;
 
   const PacketSettings Settings;
   const Parts Given;
@@ -58,7 +58,8 @@
   std::unique_ptr<PacketLane> Lane;
   std::unique_ptr<NewsPart> News;
   std::unique_ptr<HttpListener> ReadyPort;
-  std::unique_ptr<HttpListener> MetricsPort;
+  std::unique_ptr<PacketOperatorPart> Operators;
+  std::unique_ptr<OperatorPort> MetricsPort;
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -19,6 +19,16 @@
 /// Batches before timers get their turn.
 constexpr int MostBatches = 8;
 
+const char *modeName(const RoutedBackend &server) {
+  if (server.Presence == ServerPresence::Gone)
+    return "gone";
+  if (server.DomainOut)
+    return "domain-out";
+  if (server.Presence == ServerPresence::Lapsed)
+    return "lapsed";
+  return server.What->Server.Mode == ServerMode::Active ? "active" : "draining";
+}
+
 } // namespace
 
 PacketLane::PacketLane(const PacketRouterSettings &settings,
@@ -60,6 +70,34 @@
   Router.setFresh();
 }
 
+FlowExplanation PacketLane::explain(const FlowKey &key) {
+  std::lock_guard<std::mutex> hold(Lock);
+  return Router.explain(Time.now(), key);
+}
+
+LaneStatus PacketLane::status() {
+  std::lock_guard<std::mutex> hold(Lock);
+  return {Router.routes() ? Router.routes()->Version : 0, Router.flows(),
+          Router.daemons(), Router.silentServers()};
+}
+
+std::vector<LaneServer> PacketLane::servers() {
+  std::vector<LaneServer> all;
+  std::lock_guard<std::mutex> hold(Lock);
+  TimePoint now = Time.now();
+  const std::vector<TabledServer> &table = Router.servers().all();
+  for (ServerIndex i = 0; i < table.size(); ++i) {
+    const TabledServer &it = table[i];
+    if (!it.Used)
+      continue;
+    const BackendServer &what = it.Is.What->Server;
+    all.push_back({what.Id, what.Service, what.Domain, what.At, modeName(it.Is),
+                   it.InProgress, it.Share, Router.silent(i),
+                   now < it.Is.ColdUntil});
+  }
+  return all;
+}
+
 void PacketLane::forward(const PacketTarget &to, const uint8_t *packet,
                          size_t n) {
   size_t prefix = Codec.prefixBytes();
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -15,6 +15,27 @@
 
 namespace balsamrack {
 
+/// A lane's figures.
+struct LaneStatus {
+  uint64_t Configuration = 0; ///< In force; zero: none.
+  size_t Flows = 0;           ///< Remembered.
+  size_t Daemons = 0;         ///< Of the fleet.
+  size_t SilentServers = 0;   ///< By themselves.
+};
+
+/// One backend server as a lane sees it.
+struct LaneServer {
+  ServerId Id;             ///< Which.
+  ServiceId Service;       ///< For which service.
+  DomainId Domain;         ///< Where it stands.
+  Address At;              ///< Where it listens.
+  const char *Mode = "";   ///< active, draining, lapsed, gone or domain-out.
+  uint32_t InProgress = 0; ///< Own flows that it works on.
+  double Share = 0;        ///< Of its slots, this daemon's.
+  bool Silent = false;     ///< It, or its domain, leaves openings unanswered.
+  bool Cold = false;       ///< Has just started and is slow.
+};
+
 /// The thread that takes callers' packets in and passes them on: one socket,
 /// one router under one lock. Public methods are thread-safe.
 class PacketLane final : private PacketSink {
@@ -45,6 +66,12 @@
   void setFleet(size_t daemons, size_t self);
   /// News have come since the last pause.
   void setFresh();
+  /// See PacketRouter.
+  FlowExplanation explain(const FlowKey &key);
+  /// Present figures.
+  LaneStatus status();
+  /// All servers that are remembered.
+  std::vector<LaneServer> servers();
   /// Packets taken in so far.
   uint64_t received() const { return Received.load(); }
   /// Ends the thread. Idempotent.
--- /dev/null
+++ b/Balsamrack/Daemon/PacketOperatorPart.cpp
@@ -0,0 +1,173 @@
+#include "Balsamrack/Daemon/PacketOperatorPart.h"
+
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "Balsamrack/Observability/Journal.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+namespace balsamrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t HttpBadRequest = 400;
+constexpr uint32_t HttpNotFound = 404;
+
+OperatorAnswer good(const json &body) {
+  return {200, "application/json",
+          body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+OperatorAnswer bad(uint32_t status, const std::string &message) {
+  return {status, "application/json", json{{"error", message}}.dump()};
+}
+
+std::string parameter(const OperatorQuestion &question, const char *name) {
+  const auto it = question.Query.find(name);
+  return it == question.Query.end() ? std::string() : it->second;
+}
+
+std::optional<Endpoint> endpointOf(const std::string &text) {
+  auto address = Address::parse(text);
+  if (!address.ok())
+    return std::nullopt;
+  return Endpoint::of(*address);
+}
+
+json sentence(const std::string &text) { return {{"sentence", text}}; }
+
+json millis(Duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+/// Sentences about what is remembered of a flow.
+json rememberedOf(const FlowExplanation &told) {
+  json all = json::array();
+  if (!told.Known)
+    return all;
+  json entry = sentence(absl::StrCat(
+      "the flow is ", flowStageName(told.Stage), " at ", told.Home.str(),
+      "; first seen ", millis(told.Age).dump(), " ms ago, last packet ",
+      millis(told.Quiet).dump(), " ms ago, its opening went to ", told.Tries,
+      " servers from here"));
+  entry["stage"] = flowStageName(told.Stage);
+  entry["server"] = told.Home.str();
+  entry["age_ms"] = millis(told.Age);
+  entry["quiet_ms"] = millis(told.Quiet);
+  entry["tries"] = told.Tries;
+  all.push_back(entry);
+  return all;
+}
+
+json candidateOf(const ExplainedCandidate &it) {
+  std::string why = absl::StrFormat(
+      "%s: expected wait %.3f, %u in progress of ours, share %.2f, rank %s%s%s",
+      it.Server.str(), it.Wait, it.InProgress, it.Share,
+      openingRankName(it.Rank), it.Near ? "" : ", in another failure domain",
+      it.Cold ? ", cold" : "");
+  if (it.Best)
+    why = "would go to " + why;
+  json entry = sentence(why);
+  entry["server"] = it.Server.str();
+  entry["best"] = it.Best;
+  entry["wait"] = it.Wait;
+  entry["rank"] = openingRankName(it.Rank);
+  return entry;
+}
+
+/// Sentences about where a new flow would go, the best servers first.
+json placingOf(const FlowExplanation &told) {
+  json all = json::array();
+  if (told.Refused != PacketReason::None) {
+    json entry = sentence(absl::StrCat(
+        "a new flow would get nothing: ", packetReasonName(told.Refused),
+        " (configuration ", told.Version, ")"));
+    entry["reason"] = packetReasonName(told.Refused);
+    all.push_back(entry);
+  }
+  for (bool best : {true, false})
+    for (const ExplainedCandidate &it : told.Candidates)
+      if (it.Best == best)
+        all.push_back(candidateOf(it));
+  return all;
+}
+
+} // namespace
+
+PacketOperatorPart::PacketOperatorPart(const PacketSettings &settings,
+                                       PacketLane &lane,
+                                       const PacketTelemetry &watch)
+    : Settings(settings), Lane(lane), Watch(watch) {}
+
+OperatorAnswer PacketOperatorPart::answer(const OperatorQuestion &question) {
+  if (question.Path == "metrics")
+    return {200, "text/plain; version=0.0.4", Watch.prometheus()};
+  if (question.Path == "status")
+    return status();
+  if (question.Path == "servers")
+    return servers();
+  if (question.Path == "explain")
+    return explain(question);
+  if (question.Path == "where")
+    return where(question);
+  return bad(HttpNotFound, "no such question");
+}
+
+OperatorAnswer PacketOperatorPart::status() const {
+  LaneStatus now = Lane.status();
+  return good({{"vm", Settings.Name},
+               {"failure_domain", Settings.Domain.str()},
+               {"version", BALSAMRACK_VERSION},
+               {"ticket", now.Configuration},
+               {"flows", now.Flows},
+               {"daemons", now.Daemons},
+               {"silent_servers", now.SilentServers}});
+}
+
+OperatorAnswer PacketOperatorPart::servers() const {
+  json all = json::array();
+  for (const LaneServer &it : Lane.servers())
+    all.push_back({{"id", it.Id.str()},
+                   {"service", it.Service.str()},
+                   {"failure_domain", it.Domain.str()},
+                   {"address", it.At.str()},
+                   {"mode", it.Mode},
+                   {"in_progress", it.InProgress},
+                   {"share", it.Share},
+                   {"ejected", it.Silent},
+                   {"warm", !it.Cold}});
+  return good({{"vm", Settings.Name}, {"servers", all}});
+}
+
+OperatorAnswer
+PacketOperatorPart::explain(const OperatorQuestion &question) const {
+  if (parameter(question, "kind") != "flow")
+    return bad(HttpBadRequest, "only flows are explained here");
+  std::pair<std::string, std::string> ends =
+      absl::StrSplit(parameter(question, "id"), absl::MaxSplits('>', 1));
+  auto caller = endpointOf(ends.first);
+  auto service = endpointOf(ends.second);
+  if (!caller || !service)
+    return bad(HttpBadRequest, "a flow is CALLER>SERVICE, as in the log: "
+                               "10.0.0.1:1024>198.18.0.1:443");
+  return good({{"vm", Settings.Name},
+               {"decisions", rememberedOf(Lane.explain({*caller, *service}))}});
+}
+
+OperatorAnswer
+PacketOperatorPart::where(const OperatorQuestion &question) const {
+  auto service = endpointOf(parameter(question, "service"));
+  auto caller = endpointOf(parameter(question, "flow"));
+  if (!caller || !service)
+    return bad(HttpBadRequest, "service and flow are addresses: the route's, "
+                               "198.18.0.1:443, and the caller's");
+  return good({{"vm", Settings.Name},
+               {"decisions", placingOf(Lane.explain({*caller, *service}))}});
+}
+
+} // namespace balsamrack
--- a/Balsamrack/Decisions/OpeningChoice.cpp
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -30,13 +30,36 @@
 }
 
 Cost costOf(const OpeningCandidate &candidate, double othersLoad) {
+  return {candidate.Rank, openingCost(candidate, othersLoad),
+          candidate.InProgress};
+}
+
+} // namespace
+
+double openingCost(const OpeningCandidate &candidate, double othersLoad) {
   double wait = expectedWait(candidate, othersLoad);
   wait += candidate.Near ? 0 : FarCost;
   wait += candidate.Cold ? ColdCost : 0;
-  return {candidate.Rank, wait, candidate.InProgress};
+  return wait;
 }
 
-} // namespace
+std::vector<bool>
+bestForOpening(const std::vector<OpeningCandidate> &candidates,
+               double othersLoad) {
+  std::vector<bool> best(candidates.size(), false);
+  std::optional<Cost> least;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    Cost cost = costOf(candidates[i], othersLoad);
+    if (least && !same(cost, *least) && !less(cost, *least))
+      continue;
+    if (!least || !same(cost, *least)) {
+      std::fill(best.begin(), best.end(), false);
+      least = cost;
+    }
+    best[i] = true;
+  }
+  return best;
+}
 
 double expectedWait(const OpeningCandidate &candidate, double othersLoad) {
   double slots = std::max<uint32_t>(candidate.Slots, 1);
--- a/Balsamrack/Decisions/OpeningChoice.h
+++ b/Balsamrack/Decisions/OpeningChoice.h
@@ -44,6 +44,16 @@
 /// othersLoad (1 is full) independently of each other. Pure, thread-safe.
 double expectedWait(const OpeningCandidate &candidate, double othersLoad);
 
+/// What chooseForOpening() compares within a rank: the expected wait and the
+/// extra costs of \p candidate. Pure, thread-safe.
+double openingCost(const OpeningCandidate &candidate, double othersLoad);
+
+/// Which of \p candidates chooseForOpening() chooses among by chance. Pure,
+/// thread-safe.
+std::vector<bool>
+bestForOpening(const std::vector<OpeningCandidate> &candidates,
+               double othersLoad);
+
 /// The server that was chosen, and what is expected there.
 struct OpeningChoice {
   size_t Server = 0; ///< The caller's own number of it.
--- a/Balsamrack/Http/OperatorPort.cpp
+++ b/Balsamrack/Http/OperatorPort.cpp
@@ -74,9 +74,11 @@
   auto target = splitTarget(message.Target);
   if (!target.ok())
     return errorAnswer(400, std::string(target.status().message()));
-  if (target->Path.rfind(Prefix, 0) != 0)
+  // Where collectors of metrics look by default.
+  std::string path = target->Path == "/metrics" ? "/v1/metrics" : target->Path;
+  if (path.rfind(Prefix, 0) != 0)
     return errorAnswer(404, "paths begin with /v1/");
-  OperatorQuestion question{target->Path.substr(4), std::move(target->Query)};
+  OperatorQuestion question{path.substr(4), std::move(target->Query)};
   OperatorAnswer answer = Handler.answer(question);
   return {answer.Status,
           {{"Content-Type", std::move(answer.ContentType)}},
--- a/Balsamrack/Http/OperatorPort.h
+++ b/Balsamrack/Http/OperatorPort.h
@@ -37,8 +37,9 @@
 /// The operators' HTTP port: read only, and apart from the callers' ports.
 class OperatorPort {
 public:
-  /// Starts to listen at \p at (port zero takes a free one); lets in only peers
-  /// whose address is in \p allowed (dotted quads or a.b.c.d/bits).
+  /// Starts to listen at \p at (port zero takes a free one), for paths below
+  /// /v1/ and for /metrics, which is the same as /v1/metrics; lets in only
+  /// peers whose address is in \p allowed (dotted quads or a.b.c.d/bits).
   /// Precondition: \p handler outlives the result. Error (step listen) as with
   /// CallerPort. Thread-safe.
   static absl::StatusOr<std::unique_ptr<OperatorPort>>
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -143,9 +143,18 @@
 std::optional<OpeningChoice> PacketRouter::choose(TimePoint now,
                                                   const ServiceId &service,
                                                   const RememberedFlow &flow) {
-  TabledService *of = Servers.service(service);
+  const TabledService *of = listCandidates(now, service, flow);
   if (!of)
     return std::nullopt;
+  return chooseForOpening(Candidates, of->Load, Random);
+}
+
+TabledService *PacketRouter::listCandidates(TimePoint now,
+                                            const ServiceId &service,
+                                            const RememberedFlow &flow) {
+  TabledService *of = Servers.service(service);
+  if (!of)
+    return nullptr;
   of->smooth(now);
   double coldFlows = coldFigure(service);
   Candidates.clear();
@@ -170,7 +179,7 @@
     candidate.Cold = now < server.Is.ColdUntil;
     Candidates.push_back(candidate);
   }
-  return chooseForOpening(Candidates, of->Load, Random);
+  return of;
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -10,6 +10,7 @@
 #include "Balsamrack/Core/Random.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Decisions/SilenceDetector.h"
+#include "Balsamrack/Packets/FlowExplanation.h"
 #include "Balsamrack/Packets/FlowMemory.h"
 #include "Balsamrack/Packets/HeldOpenings.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
@@ -88,6 +89,13 @@
   void attemptEnded(TimePoint now, ServerIndex server, AttemptEnd how,
                     PacketSink &out);
 
+  /// What is known of the flow \p key, and where a first opening of it would go
+  /// now. Changes nothing, and draws no random number.
+  FlowExplanation explain(TimePoint now, const FlowKey &key);
+  /// Daemons of the fleet, as setFleet() said.
+  size_t daemons() const { return Daemons; }
+  /// True when the server at \p index, or its whole domain, is silent.
+  bool silent(ServerIndex index) const { return Silence.silent(index); }
   /// Number of remembered flows.
   size_t flows() const { return Flows.size(); }
   /// The servers with their counts.
@@ -138,6 +146,8 @@
                    PacketSink &out);
   std::optional<OpeningChoice> choose(TimePoint now, const ServiceId &service,
                                       const RememberedFlow &flow);
+  TabledService *listCandidates(TimePoint now, const ServiceId &service,
+                                const RememberedFlow &flow);
   double coldFigure(const ServiceId &service) const;
   bool triedDomain(const RememberedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include "Balsamrack/Client/OperatorClient.h"
+#include "Balsamrack/Client/Report.h"
 #include "Balsamrack/Core/ListenSocket.h"
 #include "Balsamrack/Http/HttpClient.h"
 #include "Balsamrack/Packets/Packet.h"
@@ -261,6 +263,43 @@
   EXPECT_LT(used, Second / 5) << used.count() << " us of two seconds";
 }
 
+// Story: a clerk's flow hangs, and the engineer on call asks the daemons about
+// it with the operators' client: where it is, and where a new one would go.
+TEST_F(PacketFleetTest, OperatorsAskAboutAFlow) {
+  platform::CallPlan plan;
+  ASSERT_EQ(Caller->call(Booking, plan).How, CallResult::End::Answered);
+  std::vector<Address> ports;
+  for (size_t i = 0; i < Daemons; ++i)
+    ports.push_back({vmIp(i), Ports[2]});
+  auto client = OperatorClient::create(ports, Second);
+  ASSERT_TRUE(client.ok()) << client.status();
+  auto ask = [&](const std::string &path, const OperatorClient::Query &query) {
+    auto replies = client->askAll(path, query);
+    return reportDecisions(replies, OutputFormat::Text);
+  };
+  // The caller's first flow comes from port 1001.
+  Report flow = ask(
+      "explain", {{"kind", "flow"}, {"id", "127.0.7.1:1001>198.18.0.1:443"}});
+  EXPECT_EQ(flow.ExitCode, ExitCodes::Good) << flow.Notes;
+  EXPECT_NE(flow.Text.find("the flow is ending at i-"), std::string::npos)
+      << flow.Text;
+  Report where =
+      ask("where", {{"service", "198.18.0.1:443"}, {"flow", "127.0.7.1:2000"}});
+  EXPECT_NE(where.Text.find("would go to i-"), std::string::npos) << where.Text;
+  Report nowhere =
+      ask("where", {{"service", "198.18.0.1:444"}, {"flow", "127.0.7.1:2000"}});
+  EXPECT_NE(nowhere.Text.find("no-route"), std::string::npos) << nowhere.Text;
+  Report servers =
+      reportServers(client->askAll("servers", {}), OutputFormat::Text);
+  EXPECT_NE(servers.Text.find("i-4"), std::string::npos) << servers.Text;
+  Report wrong = ask("explain", {{"kind", "flow"}, {"id", "nonsense"}});
+  EXPECT_NE(wrong.ExitCode, ExitCodes::Good);
+  Report metrics =
+      reportMetrics(client->askAll("metrics", {}), OutputFormat::Text);
+  EXPECT_NE(metrics.Text.find("balsamrack_flow_events_total"),
+            std::string::npos);
+}
+
 // Story: all daemons are killed at once, and start again.
 TEST_F(PacketFleetTest, AllDaemonsComeBackTogether) {
   for (auto &process : Processes)
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -215,6 +215,50 @@
   EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
 }
 
+// Story: an operator asks where a caller's next flow would go, and why. What is
+// told must be what then happens, whatever the daemon is in.
+TEST(PacketRouterTest, WhatIsToldOfAPlacingIsWhatHappens) {
+  SeededRandom random(7);
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}});
+  bench.servers(
+      {{"b1", "bern-a"},
+       {"b2", "bern-a"},
+       {"b3", "bern-b"},
+       {"b4", "bern-b", "booking", ServerMode::Active, Duration(400'000)}});
+  bench.Router.setFleet(3, 1);
+  for (uint16_t port = 1; port <= 300; ++port) {
+    FlowExplanation told =
+        bench.Router.explain(bench.Now, PacketBench::key(port));
+    EXPECT_FALSE(told.Known);
+    ASSERT_EQ(told.Refused, PacketReason::None);
+    bench.opens(port);
+    std::string went = "b" + std::to_string(bench.lastTag());
+    bool agrees = false;
+    for (const ExplainedCandidate &it : told.Candidates)
+      agrees = agrees || (it.Best && it.Server.str() == went);
+    EXPECT_TRUE(agrees) << port << " went to " << went;
+    told = bench.Router.explain(bench.Now, PacketBench::key(port));
+    EXPECT_TRUE(told.Known);
+    EXPECT_EQ(told.Home.str(), went);
+    // Some servers answer, some flows end, time passes.
+    if (random.below(5) != 0)
+      bench.speaks(port, bench.lastToken(), 100, random.below(2) == 0);
+    bench.pass(Duration(static_cast<int64_t>(random.below(60'000))));
+  }
+}
+
+TEST(PacketRouterTest, ToldWhyANewFlowWouldGetNothing) {
+  PacketBench bench;
+  EXPECT_EQ(bench.Router.explain(bench.Now, PacketBench::key(1)).Refused,
+            PacketReason::NotReady);
+  bench.configure(1, {{443, "booking"}});
+  EXPECT_EQ(bench.Router.explain(bench.Now, PacketBench::key(1)).Refused,
+            PacketReason::NoServer);
+  EXPECT_EQ(bench.Router.explain(bench.Now, PacketBench::key(1, 999)).Refused,
+            PacketReason::NoRoute);
+}
+
 /// Packets that must not reach a server, and what happens to them.
 struct NotForwarded {
   const char *Name;
