Let no listing pass for the changes that it does not tell

Cause: found by a model of the published state. A daemon that has listed the store knows what exists, not what was removed before. Asked by a peer that was cut off for the changes after its revision, it answered with those that it holds, and the peer took itself for complete: a dropped route, a server that left, or a domain that is no longer out stayed in force there. The same by comparing newest changes, since a removal that was never seen is none of them. Change: a listing counts as a change at its revision, and who lags behind it gets everything. With a newest change that can be trusted, a section is complete up to a peer's revision whenever it is complete up to the peer's newest change; equality, which was asked before, is not needed. Ruled out: more messages.

--- a/Balsamrack/Published/PublishedStore.cpp
+++ b/Balsamrack/Published/PublishedStore.cpp
@@ -50,6 +50,12 @@
       into.Gone.push_back(name);
       changed.push_back(object);
     }
+  // Guards against a removed object that lives on at a peer: a listing does not
+  // tell what was removed before it, so neither can its holder.
+  if (whole && changes.As > into.CompleteAs) {
+    into.ForgotUpTo = std::max(into.ForgotUpTo, changes.As);
+    into.LastChange = std::max(into.LastChange, changes.As);
+  }
   // A list of changes that begins after what is held leaves a gap, so it does
   // not complete the section.
   if (whole || changes.After <= into.CompleteAs)
@@ -61,8 +67,7 @@
 bool PublishedStore::completeUpTo(PublishedSection section, Revision lastChange,
                                   Revision as) {
   Part &into = Parts[static_cast<size_t>(section)];
-  if (into.CompleteAs == Revision{} || lastChange != into.LastChange ||
-      into.CompleteAs < lastChange)
+  if (into.CompleteAs == Revision{} || into.CompleteAs < lastChange)
     return false;
   into.CompleteAs = std::max(into.CompleteAs, as);
   return true;
--- a/Balsamrack/Published/PublishedStore.h
+++ b/Balsamrack/Published/PublishedStore.h
@@ -36,13 +36,15 @@
   Revision completeAs(PublishedSection section) const {
     return part(section).CompleteAs;
   }
-  /// The revision of the newest change in \p section that is held.
+  /// No change in \p section after this one is known, up to completeAs(). Not
+  /// always a change that is held: a listing tells what exists, not when the
+  /// last object was removed, so it counts as a change itself.
   Revision lastChange(PublishedSection section) const {
     return part(section).LastChange;
   }
-  /// A peer whose newest change is \p lastChange knows \p section completely up
-  /// to \p as. When it is our newest change too, nothing has changed up to
-  /// there, and it is complete here as well; true then.
+  /// A peer knows that nothing in \p section has changed after \p lastChange, up
+  /// to \p as. When \p section is complete here up to \p lastChange, it is so up
+  /// to \p as; true then.
   bool completeUpTo(PublishedSection section, Revision lastChange, Revision as);
   /// True when all sections are completely known up to some revision.
   bool complete() const;
@@ -55,8 +57,8 @@
   /// What is held of one section.
   struct Part {
     Revision CompleteAs; ///< Nothing up to here is unknown.
-    Revision LastChange; ///< Newest revision of any object.
-    Revision ForgotUpTo; ///< Gone objects up to here may be forgotten.
+    Revision LastChange; ///< See lastChange().
+    Revision ForgotUpTo; ///< Objects that went up to here may not be known.
     std::map<std::string, PublishedObject> Objects; ///< Gone ones included.
     std::deque<std::string> Gone; ///< Names of gone objects, oldest first.
   };
