Reset for want of an answer only what no other daemon can have opened

Change: a reset for want of an answer needs all three copies, each at its time. Copies that come faster than callers send them had waited; by them no server is taken for silent either. Failing first: AWokenDaemonJudgesNothingByWhatWaitedForIt and WhoSawNotTheFirstCopyResetsNothing, which is now one of EachSomeCopies (three of its four cases fail without the check, NotTheLast never did). Now EachSlowerSection plays both orders; one failed each time before, both pass since.

--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -309,9 +309,9 @@
 }
 
 void NewsPart::publishRoutes(TimePoint now) {
-  RoutesDue = false;
   if (!Exchange.store().complete())
     return;
+  RoutesDue = false;
   Listener.routesChanged(Book.snapshot(now));
 }
 
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -98,7 +98,7 @@
   std::unique_ptr<Membership> Members;
   NewsExchange Exchange;
   RouteBook Book;
-  bool RoutesDue = false;  ///< The snapshot is to be made anew.
+  bool RoutesDue = true;   ///< A snapshot is to be made once all is known.
   bool AwaitsNews = false; ///< A pause has ended, and no news came since.
   TimePoint NextFigures;
   size_t LivePeers = 0;
--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -26,6 +26,9 @@
   Ending,  ///< The caller has ended or reset it.
 };
 
+/// The bit of an opening's copy \p n in RememberedFlow::CopiesSeen.
+constexpr uint8_t copyBit(uint8_t n) { return static_cast<uint8_t>(1U << n); }
+
 /// What is remembered of one flow.
 struct RememberedFlow {
   /// Servers that may get copies of one opening: with a tenth of all servers
@@ -34,12 +37,16 @@
 
   std::array<ServerIndex, MaxTries> Tried{}; ///< The first Tries are valid.
   uint8_t Tries = 0;                         ///< Servers that got the opening.
-  uint8_t Copy = 0; ///< Highest number of a copy of the opening.
+  uint8_t Copy = 0;       ///< Highest number of a copy of the opening.
+  uint8_t CopiesSeen = 0; ///< One bit for each copy that came here.
   FlowStage Stage = FlowStage::Opening; ///< See there.
-  bool Counted = false;                 ///< Counts as in progress at Home.
-  ServerIndex Home = NoServerIndex;     ///< Where its packets go.
+  bool Delayed = false; ///< Copies of the opening came faster than callers send
+                        ///< them: they had waited on their way, or here.
+  bool Counted = false; ///< Counts as in progress at Home.
+  ServerIndex Home = NoServerIndex; ///< Where its packets go.
   uint32_t FirstSequence = 0; ///< Of the opening: tells a new flow on the same
                               ///< ports from a copy.
+  Duration FirstAge{0};       ///< Age of the first copy that was seen here.
   TimePoint OpenedAt;         ///< First copy of the opening, or adoption.
   TimePoint LastSeen;         ///< Last packet.
   TimePoint LastSent;         ///< Last copy of the opening sent on.
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -68,6 +68,8 @@
     flow = &spare;
   flow->OpenedAt = now;
   flow->FirstSequence = head.Sequence;
+  flow->FirstAge = head.Age;
+  flow->CopiesSeen = copyBit(head.Copy);
   sendOpening(now, *flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
               out);
   // A flow that has no room in the memory is not counted, or its count would
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -12,7 +12,10 @@
 
 constexpr TimePoint Never = TimePoint(Duration::max());
 /// Callers send the opening and two copies of it.
-constexpr uint8_t LastCopy = 2;
+constexpr uint8_t AllCopies = 0b111;
+/// Copies may come closer to each other by so much for the network's and this
+/// process's own lateness; callers send them 200 and 400 ms apart.
+constexpr Duration CopyJitter{100'000};
 
 } // namespace
 
@@ -146,6 +149,9 @@
                                size_t n, PacketSink &out) {
   flow.LastSeen = now;
   flow.Copy = std::max(flow.Copy, head.Copy);
+  flow.CopiesSeen |= copyBit(head.Copy);
+  if (now - flow.OpenedAt + CopyJitter < head.Age - flow.FirstAge)
+    flow.Delayed = true;
   if (flow.Stage != FlowStage::Opening) {
     forward(flow.Home, bytes, n, out);
     return;
@@ -341,7 +347,11 @@
   RememberedFlow *flow = Flows.find(waiting.Opening.Head.Flow);
   ServerIndex server = flow->Home;
   uint32_t caller = waiting.Opening.Head.Flow.Caller.Ip;
-  if (Silence.unanswered(now, server, waiting.SentAt, caller)) {
+  // Guards against a process that was frozen: what waited in its socket has
+  // been sent to another daemon too, and is answered there. Servers are not
+  // silent for that.
+  if (!flow->Delayed &&
+      Silence.unanswered(now, server, waiting.SentAt, caller)) {
     out.tell(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer,
                      waiting.Opening.Head.Flow, server));
     reshare();
@@ -354,10 +364,12 @@
     return;
   // It may have gone on through another daemon, and else nobody works on it.
   release(*flow);
-  if (flow->Copy < LastCopy)
-    return;
   // The caller sends no more copies, and whoever could answer had its time: a
-  // reset lets it try anew at once.
+  // reset lets it try anew at once. Only if all of its copies came here, each
+  // at its time: else its flow may have been opened through another daemon, and
+  // the reset would break it.
+  if (flow->CopiesSeen != AllCopies || flow->Delayed)
+    return;
   refuse(waiting.Opening.Head, PacketReason::NoAnswer, out);
   flow->Stage = FlowStage::Ending;
 }
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -28,13 +28,14 @@
     if (Threads.size() >= MostThreads)
       return;
     Threads.emplace_back([this, read, done = std::move(done)] {
-      std::this_thread::sleep_for(Wait);
+      std::this_thread::sleep_for(read.Section == Slower ? Wait * 4 : Wait);
       done(answerTo(read));
     });
   }
   void cancelAll() override {}
 
   std::chrono::milliseconds Wait{1};
+  PublishedSection Slower = PublishedSection::Servers; ///< Waits four times.
 
 private:
   static constexpr size_t MostThreads = 40;
@@ -93,9 +94,18 @@
   PacketSettings Settings;
 };
 
-TEST_F(PacketDaemonTest, IsReadyOnceItKnowsWhatIsPublished) {
+class EachSlowerSection : public PacketDaemonTest,
+                          public testing::WithParamInterface<PublishedSection> {
+};
+
+// Story: a fleet starts before its servers do. What is published of servers is
+// known to be nothing, and that may come after the configuration. The daemon
+// must be ready, to refuse callers at once, though the last news changed
+// nothing.
+TEST_P(EachSlowerSection, IsReadyOnceItKnowsWhatIsPublished) {
   LateSource source;
-  source.Wait = std::chrono::milliseconds(50);
+  source.Wait = std::chrono::milliseconds(20);
+  source.Slower = GetParam();
   auto daemon = start(source);
   ASSERT_TRUE(daemon.ok()) << daemon.status();
   EXPECT_FALSE((*daemon)->ready());
@@ -104,6 +114,13 @@
   EXPECT_FALSE((*daemon)->ready());
 }
 
+INSTANTIATE_TEST_SUITE_P(Sections, EachSlowerSection,
+                         testing::Values(PublishedSection::Operators,
+                                         PublishedSection::Servers),
+                         [](const auto &info) {
+                           return std::string(sectionName(info.param));
+                         });
+
 // Story: a VM is stopped while reads of the publishing service are under way.
 // Their answers come when the daemon is gone, and must touch nothing of it.
 TEST_F(PacketDaemonTest, AnswersThatComeAfterItsEndAreHarmless) {
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -176,6 +176,70 @@
   EXPECT_TRUE(bench.Out.told(PacketEventKind::ServerBack, PacketReason::None));
 }
 
+// Story: a daemon is frozen for a second. A seller's opening and both its
+// copies wait in its socket; meanwhile the fabric has moved the seller to
+// another daemon, where the flow opened. The daemon wakes, sends the three on
+// at once, sees no answer to them, since the seller answers elsewhere, and
+// resets the open flow. It also takes living servers for silent.
+TEST(PacketRouterTest, AWokenDaemonJudgesNothingByWhatWaitedForIt) {
+  PacketBench bench;
+  bench.usual();
+  for (uint16_t port = 1; port <= 6; ++port)
+    for (uint8_t copy : {0, 1, 2})
+      bench.opens(port, copy);
+  bench.pass(Duration(500'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  EXPECT_EQ(bench.Router.silentServers(), 0U);
+}
+
+// The same copies, each at its time: nobody answers, and the caller sends no
+// more.
+TEST(PacketRouterTest, ACallerIsToldOnceNobodyAnswersItsLastCopy) {
+  PacketBench bench;
+  bench.usual();
+  bench.opens(1, 0);
+  bench.pass(Duration(200'000));
+  bench.opens(1, 1);
+  bench.pass(Duration(400'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  bench.opens(1, 2);
+  bench.pass(Duration(300'000));
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoAnswer));
+}
+
+/// Copies that come here, each at its time; the others go to another daemon.
+struct SomeCopies {
+  const char *Name;
+  std::vector<uint8_t> Copies;
+};
+
+class EachSomeCopies : public testing::TestWithParam<SomeCopies> {};
+
+// Story: the fabric moves a caller between two copies of its opening. A daemon
+// that did not get them all can't know what became of the others: the flow may
+// be open, and a reset would break it.
+TEST_P(EachSomeCopies, ResetNothing) {
+  PacketBench bench;
+  bench.usual();
+  TimePoint began = bench.Now;
+  for (uint8_t copy : GetParam().Copies) {
+    bench.pass(began + PacketBench::copyAge(copy) - bench.Now);
+    bench.opens(1, copy);
+  }
+  bench.pass(Duration(500'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Copies, EachSomeCopies,
+                         testing::Values(SomeCopies{"NotTheFirst", {1, 2}},
+                                         SomeCopies{"NotTheSecond", {0, 2}},
+                                         SomeCopies{"NotTheLast", {0, 1}},
+                                         SomeCopies{"OnlyTheLast", {2}}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 // Story: operators take a failure domain out, and it is cut off from the others
 // at the same time. Its callers can't be served, and each waited until its time
 // was over. Once the servers out of reach have refused connections too, callers
