--- a/Balsamrack/Published/PublishedStore.cpp
+++ b/Balsamrack/Published/PublishedStore.cpp
@@ -21,6 +21,12 @@
 void PublishedStore::forgetOldest(Part &from) {
   while (from.Gone.size() > MaxGone) {
     auto it = from.Objects.find(from.Gone.front());
+    // Only what is complete makes up for what is forgotten: beyond it an older
+    // listing would bring the object back.
+    bool beyond = it != from.Objects.end() && it->second.gone() &&
+                  it->second.At > from.CompleteAs;
+    if (beyond)
+      return;
     from.Gone.pop_front();
     if (it == from.Objects.end() || !it->second.gone())
       continue;
--- a/Balsamrack/Published/PublishedStore.h
+++ b/Balsamrack/Published/PublishedStore.h
@@ -24,7 +24,7 @@
 public:
   /// Objects that are gone are remembered up to this number, so that peers
   /// that lag can be told by a list of changes; a peer that lags further gets
-  /// everything. A thousand cover about a day of server changes of a site.
+  /// everything. More are remembered only beyond a gap, until it is filled. A thousand cover about a day of server changes of a site.
   static constexpr size_t MaxGone = 1000;
 
   /// Merges \p changes; returns the objects whose state changed, as they are
--- a/UnitTests/Published/PublishedStoreTest.cpp
+++ b/UnitTests/Published/PublishedStoreTest.cpp
@@ -101,6 +101,23 @@
   EXPECT_EQ(cutOff.completeAs(Section), Revision{10});
 }
 
+// Story: a daemon hears of many removals that lie beyond what it has completely,
+// so many that it forgets some. An older listing then brings one of the removed
+// servers back to it.
+TEST(PublishedStoreTest, WhatIsGoneBeyondAGapIsNotForgotten) {
+  PublishedStore store;
+  store.merge({Section, {}, {10}, {server("a", 3)}});
+  PublishedChanges far{Section, {2000}, {4000}, {goneServer("a", 2500)}};
+  for (uint64_t i = 0; i <= PublishedStore::MaxGone; ++i) {
+    std::string id = "s" + std::to_string(i);
+    far.Objects.push_back(server(id, 2501 + i));
+    far.Objects.push_back(goneServer(id, 4001 + i));
+  }
+  store.merge(far);
+  store.merge({Section, {}, {2000}, {server("a", 1500)}});
+  EXPECT_EQ(held(store).count("a"), 0U);
+}
+
 TEST(PublishedStoreTest, WhoLagsTooFarGetsEverything) {
   PublishedStore store;
   store.merge({Section, {}, {10}, {server("kept", 1)}});
