--- a/UnitTests/Published/PublishedStoreTest.cpp
+++ b/UnitTests/Published/PublishedStoreTest.cpp
@@ -101,9 +101,9 @@
   EXPECT_EQ(cutOff.completeAs(Section), Revision{10});
 }
 
-// Story: a daemon hears of many removals that lie beyond what it has completely,
-// so many that it forgets some. An older listing then brings one of the removed
-// servers back to it.
+// Story: a daemon hears of many removals that lie beyond what it has
+// completely, so many that it forgets some. An older listing then brings one of
+// the removed servers back to it.
 TEST(PublishedStoreTest, WhatIsGoneBeyondAGapIsNotForgotten) {
   PublishedStore store;
   store.merge({Section, {}, {10}, {server("a", 3)}});
