--- a/Balsamrack/Daemon/OperatorPart.cpp
+++ b/Balsamrack/Daemon/OperatorPart.cpp
@@ -4,6 +4,7 @@
 
 #include "Balsamrack/Configuration/TicketCodec.h"
 #include "Balsamrack/Flows/EntryRouter.h"
+#include "Balsamrack/Http/OperatorAnswers.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -17,21 +18,6 @@
 constexpr uint32_t MostFlowsListed = 10'000;
 constexpr uint32_t FlowsListed = 100;
 
-OperatorAnswer good(const json &body) {
-  return {200, "application/json",
-          body.dump(-1, ' ', false, json::error_handler_t::replace)};
-}
-
-OperatorAnswer bad(uint32_t status, const std::string &message) {
-  return {status, "application/json", json{{"error", message}}.dump()};
-}
-
-/// A query parameter, or an empty string.
-std::string parameter(const OperatorQuestion &question, const char *name) {
-  const auto it = question.Query.find(name);
-  return it == question.Query.end() ? std::string() : it->second;
-}
-
 const char *memberStateName(const MemberView &member) {
   if (member.Unreachable)
     return "unreachable";
@@ -88,8 +74,8 @@
   if (path == "metrics")
     return {200, "text/plain; version=0.0.4", From.Watch.metricsText()};
   if (path == "metrics.json")
-    return good(From.Watch.metricsJson());
-  return bad(404, "no such question");
+    return goodAnswer(From.Watch.metricsJson());
+  return badAnswer(404, "no such question");
 }
 
 OperatorAnswer OperatorPart::status() const {
@@ -112,33 +98,33 @@
          {"reachable", it != control.Reachable.end() && it->second}});
   }
   const StateDigest digest = From.Store.digest();
-  return good({{"vm", From.Self.Id.str()},
-               {"failure_domain", From.Self.Domain.str()},
-               {"run", From.Run.Value},
-               {"version", BALSAMRACK_VERSION},
-               {"uptime_ms",
-                (From.Time.now() - StartedAt) / std::chrono::milliseconds(1)},
-               {"leaving", control.Leaving},
-               {"ticket", digest.Highest.Value},
-               {"state_hash", absl::StrFormat("%016x", digest.Hash)},
-               {"platform_state", platformStateName(From.Reader.state())},
-               {"platform_ticket", From.Reader.highest().Value},
-               {"authority", authorityName(control.Authority)},
-               {"members", members},
-               {"domains", domains},
-               {"owned", namesOf(control.Owned)},
-               {"wanted", namesOf(control.Wanted)},
-               {"in_progress", From.Entry.inProgress()},
-               {"flows", From.Flows.size()}});
+  return goodAnswer({{"vm", From.Self.Id.str()},
+                     {"failure_domain", From.Self.Domain.str()},
+                     {"run", From.Run.Value},
+                     {"version", BALSAMRACK_VERSION},
+                     {"uptime_ms", (From.Time.now() - StartedAt) /
+                                       std::chrono::milliseconds(1)},
+                     {"leaving", control.Leaving},
+                     {"ticket", digest.Highest.Value},
+                     {"state_hash", absl::StrFormat("%016x", digest.Hash)},
+                     {"platform_state", platformStateName(From.Reader.state())},
+                     {"platform_ticket", From.Reader.highest().Value},
+                     {"authority", authorityName(control.Authority)},
+                     {"members", members},
+                     {"domains", domains},
+                     {"owned", namesOf(control.Owned)},
+                     {"wanted", namesOf(control.Wanted)},
+                     {"in_progress", From.Entry.inProgress()},
+                     {"flows", From.Flows.size()}});
 }
 
 OperatorAnswer OperatorPart::configuration() const {
   json objects = json::array();
   for (const ObjectState &it : From.Store.objects())
     objects.push_back(objectToJson(it));
-  return good({{"vm", From.Self.Id.str()},
-               {"ticket", From.Store.view()->highest().Value},
-               {"objects", objects}});
+  return goodAnswer({{"vm", From.Self.Id.str()},
+                     {"ticket", From.Store.view()->highest().Value},
+                     {"objects", objects}});
 }
 
 OperatorAnswer OperatorPart::servers() const {
@@ -176,15 +162,16 @@
     }
     all.push_back(std::move(entry));
   }
-  return good({{"vm", From.Self.Id.str()}, {"servers", all}});
+  return goodAnswer({{"vm", From.Self.Id.str()}, {"servers", all}});
 }
 
 OperatorAnswer OperatorPart::flows(const OperatorQuestion &question) const {
   uint32_t limit = FlowsListed;
-  const std::string text = parameter(question, "limit");
+  const std::string text = parameterOf(question, "limit");
   if (!text.empty() &&
       (!absl::SimpleAtoi(text, &limit) || limit > MostFlowsListed))
-    return bad(400, absl::StrCat("limit has to be at most ", MostFlowsListed));
+    return badAnswer(400,
+                     absl::StrCat("limit has to be at most ", MostFlowsListed));
   json listed = json::array();
   const auto view = From.Store.view();
   for (const ServerReport &it : From.Owner.report()) {
@@ -197,45 +184,48 @@
                         {"service", server ? server->Service.str() : ""}});
     }
   }
-  return good({{"vm", From.Self.Id.str()},
-               {"count", From.Flows.size()},
-               {"bytes", From.Flows.bytes()},
-               {"flows", listed}});
+  return goodAnswer({{"vm", From.Self.Id.str()},
+                     {"count", From.Flows.size()},
+                     {"bytes", From.Flows.bytes()},
+                     {"flows", listed}});
 }
 
 OperatorAnswer OperatorPart::explain(const OperatorQuestion &question) const {
-  const auto found =
-      From.Watch.about(parameter(question, "kind"), parameter(question, "id"));
+  const auto found = From.Watch.about(parameterOf(question, "kind"),
+                                      parameterOf(question, "id"));
   if (!found.ok())
-    return bad(400, std::string(found.status().message()));
-  return good({{"vm", From.Self.Id.str()}, {"decisions", decisionsOf(*found)}});
+    return badAnswer(400, std::string(found.status().message()));
+  return goodAnswer(
+      {{"vm", From.Self.Id.str()}, {"decisions", decisionsOf(*found)}});
 }
 
 OperatorAnswer OperatorPart::where(const OperatorQuestion &question) const {
   FlowId flow;
-  if (!absl::SimpleHexAtoi(parameter(question, "flow"), &flow.Value))
-    return bad(400, "flow has to be hex digits");
-  const ServiceId service(parameter(question, "service"));
+  if (!absl::SimpleHexAtoi(parameterOf(question, "flow"), &flow.Value))
+    return badAnswer(400, "flow has to be hex digits");
+  const ServiceId service(parameterOf(question, "service"));
   const auto view = From.Control.view();
   if (!view || !view->findService(service))
-    return bad(404, "no such service");
-  return good({{"vm", From.Self.Id.str()},
-               {"decisions", decisionsOf(explainPlacement(*view, service, flow,
-                                                          From.Time.now()))}});
+    return badAnswer(404, "no such service");
+  return goodAnswer(
+      {{"vm", From.Self.Id.str()},
+       {"decisions",
+        decisionsOf(explainPlacement(*view, service, flow, From.Time.now()))}});
 }
 
 OperatorAnswer OperatorPart::inForce(const OperatorQuestion &question) const {
   TicketNumber number;
-  if (!absl::SimpleAtoi(parameter(question, "number"), &number.Value))
-    return bad(400, "number has to be a ticket's number");
-  return good({{"vm", From.Self.Id.str()},
-               {"ticket", From.Store.view()->highest().Value},
-               {"in_force", From.Store.inForce(number)}});
+  if (!absl::SimpleAtoi(parameterOf(question, "number"), &number.Value))
+    return badAnswer(400, "number has to be a ticket's number");
+  return goodAnswer({{"vm", From.Self.Id.str()},
+                     {"ticket", From.Store.view()->highest().Value},
+                     {"in_force", From.Store.inForce(number)}});
 }
 
 OperatorAnswer OperatorPart::trace(const OperatorQuestion &question) const {
-  return good({{"vm", From.Self.Id.str()},
-               {"spans", From.Watch.spansOf(parameter(question, "id"))}});
+  return goodAnswer(
+      {{"vm", From.Self.Id.str()},
+       {"spans", From.Watch.spansOf(parameterOf(question, "id"))}});
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Daemon/PacketOperatorPart.cpp
+++ b/Balsamrack/Daemon/PacketOperatorPart.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Balsamrack/Observability/Journal.h"
+#include "Balsamrack/Http/OperatorAnswers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
@@ -18,20 +18,6 @@
 constexpr uint32_t HttpBadRequest = 400;
 constexpr uint32_t HttpNotFound = 404;
 
-OperatorAnswer good(const json &body) {
-  return {200, "application/json",
-          body.dump(-1, ' ', false, json::error_handler_t::replace)};
-}
-
-OperatorAnswer bad(uint32_t status, const std::string &message) {
-  return {status, "application/json", json{{"error", message}}.dump()};
-}
-
-std::string parameter(const OperatorQuestion &question, const char *name) {
-  const auto it = question.Query.find(name);
-  return it == question.Query.end() ? std::string() : it->second;
-}
-
 std::optional<Endpoint> endpointOf(const std::string &text) {
   auto address = Address::parse(text);
   if (!address.ok())
@@ -115,18 +101,18 @@
     return explain(question);
   if (question.Path == "where")
     return where(question);
-  return bad(HttpNotFound, "no such question");
+  return badAnswer(HttpNotFound, "no such question");
 }
 
 OperatorAnswer PacketOperatorPart::status() const {
   LaneStatus now = Lane.status();
-  return good({{"vm", Settings.Name},
-               {"failure_domain", Settings.Domain.str()},
-               {"version", BALSAMRACK_VERSION},
-               {"ticket", now.Configuration},
-               {"flows", now.Flows},
-               {"daemons", now.Daemons},
-               {"silent_servers", now.SilentServers}});
+  return goodAnswer({{"vm", Settings.Name},
+                     {"failure_domain", Settings.Domain.str()},
+                     {"version", BALSAMRACK_VERSION},
+                     {"ticket", now.Configuration},
+                     {"flows", now.Flows},
+                     {"daemons", now.Daemons},
+                     {"silent_servers", now.SilentServers}});
 }
 
 OperatorAnswer PacketOperatorPart::servers() const {
@@ -141,33 +127,36 @@
                    {"share", it.Share},
                    {"ejected", it.Silent},
                    {"warm", !it.Cold}});
-  return good({{"vm", Settings.Name}, {"servers", all}});
+  return goodAnswer({{"vm", Settings.Name}, {"servers", all}});
 }
 
 OperatorAnswer
 PacketOperatorPart::explain(const OperatorQuestion &question) const {
-  if (parameter(question, "kind") != "flow")
-    return bad(HttpBadRequest, "only flows are explained here");
+  if (parameterOf(question, "kind") != "flow")
+    return badAnswer(HttpBadRequest, "only flows are explained here");
   std::pair<std::string, std::string> ends =
-      absl::StrSplit(parameter(question, "id"), absl::MaxSplits('>', 1));
+      absl::StrSplit(parameterOf(question, "id"), absl::MaxSplits('>', 1));
   auto caller = endpointOf(ends.first);
   auto service = endpointOf(ends.second);
   if (!caller || !service)
-    return bad(HttpBadRequest, "a flow is CALLER>SERVICE, as in the log: "
-                               "10.0.0.1:1024>198.18.0.1:443");
-  return good({{"vm", Settings.Name},
-               {"decisions", rememberedOf(Lane.explain({*caller, *service}))}});
+    return badAnswer(HttpBadRequest, "a flow is CALLER>SERVICE, as in the log: "
+                                     "10.0.0.1:1024>198.18.0.1:443");
+  return goodAnswer(
+      {{"vm", Settings.Name},
+       {"decisions", rememberedOf(Lane.explain({*caller, *service}))}});
 }
 
 OperatorAnswer
 PacketOperatorPart::where(const OperatorQuestion &question) const {
-  auto service = endpointOf(parameter(question, "service"));
-  auto caller = endpointOf(parameter(question, "flow"));
+  auto service = endpointOf(parameterOf(question, "service"));
+  auto caller = endpointOf(parameterOf(question, "flow"));
   if (!caller || !service)
-    return bad(HttpBadRequest, "service and flow are addresses: the route's, "
-                               "198.18.0.1:443, and the caller's");
-  return good({{"vm", Settings.Name},
-               {"decisions", placingOf(Lane.explain({*caller, *service}))}});
+    return badAnswer(HttpBadRequest,
+                     "service and flow are addresses: the route's, "
+                     "198.18.0.1:443, and the caller's");
+  return goodAnswer(
+      {{"vm", Settings.Name},
+       {"decisions", placingOf(Lane.explain({*caller, *service}))}});
 }
 
 } // namespace balsamrack
--- /dev/null
+++ b/Balsamrack/Http/OperatorAnswers.h
@@ -0,0 +1,24 @@
+#ifndef BALSAMRACK_HTTP_OPERATORANSWERS_H
+#define BALSAMRACK_HTTP_OPERATORANSWERS_H
+
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "Balsamrack/Http/OperatorPort.h"
+
+namespace balsamrack {
+
+/// The answer \p body with status 200; bytes that are no UTF-8 are replaced.
+/// Thread-safe.
+OperatorAnswer goodAnswer(const nlohmann::json &body);
+
+/// An error in the operators' form, with status \p status. Thread-safe.
+OperatorAnswer badAnswer(uint32_t status, const std::string &message);
+
+/// The query parameter \p name, or an empty string. Thread-safe.
+std::string parameterOf(const OperatorQuestion &question, const char *name);
+
+} // namespace balsamrack
+
+#endif // BALSAMRACK_HTTP_OPERATORANSWERS_H
--- /dev/null
+++ b/UnitTests/Packets/OpeningStoriesTest.cpp
@@ -0,0 +1,162 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "UnitTests/Packets/PacketBench.h"
+
+// What becomes of openings that wait, come again or can't be served.
+
+namespace balsamrack {
+namespace {
+
+// Story: all daemons were away, and their callers come back all at once. One
+// that has missed its objective gives way while all slots are taken, and is
+// served once one gets free.
+TEST(OpeningStoriesTest, ALateOpeningWaitsForAFreeSlot) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}}, 0, Duration(150'000));
+  bench.servers({{"b1", "bern-a"}});
+  for (uint16_t port = 1; port <= 3; ++port) {
+    bench.opens(port);
+    bench.speaks(port, bench.lastToken());
+  }
+  bench.pass(Duration(100'000));
+  size_t before = bench.Out.Sent.size();
+  bench.opens(4, 1);
+  EXPECT_EQ(bench.Out.Sent.size(), before) << "both slots are taken";
+  bench.opens(5);
+  EXPECT_EQ(bench.Out.Sent.size(), before + 1) << "in time, so it goes at once";
+  for (uint16_t port : {1, 2, 3})
+    bench.speaks(port, tokenOf(ServerId("b1")), 0, true);
+  bench.pass(Duration(100'000));
+  EXPECT_EQ(bench.Out.Sent.size(), before + 5) << "a slot got free";
+}
+
+// Story: as above, but no slot gets free. The waiting caller's time runs, and a
+// late answer is better than none.
+TEST(OpeningStoriesTest, ALateOpeningIsSentOnBeforeItsTimeIsOver) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}}, 0, Duration(150'000));
+  bench.servers({{"b1", "bern-a"}});
+  for (uint16_t port = 1; port <= 4; ++port) {
+    bench.opens(port);
+    bench.speaks(port, bench.lastToken());
+  }
+  bench.pass(Duration(100'000));
+  bench.opens(9, 1);
+  size_t before = bench.Out.Sent.size();
+  for (int i = 0; i < 8; ++i) {
+    for (uint16_t port = 1; port <= 4; ++port)
+      bench.speaks(port, tokenOf(ServerId("b1")));
+    bench.pass(Duration(100'000));
+  }
+  EXPECT_EQ(bench.Out.Sent.size(), before + 32) << "still waits at 0.8 s";
+  bench.pass(Duration(100'000));
+  EXPECT_EQ(bench.Out.Sent.size(), before + 33);
+}
+
+// Story: a daemon is frozen for a second. A seller's opening and both its
+// copies wait in its socket; meanwhile the fabric has moved the seller to
+// another daemon, where the flow opened. The daemon wakes, sends the three on
+// at once, sees no answer to them, since the seller answers elsewhere, and
+// resets the open flow. It also takes living servers for silent.
+TEST(OpeningStoriesTest, AWokenDaemonJudgesNothingByWhatWaitedForIt) {
+  PacketBench bench;
+  bench.usual();
+  for (uint16_t port = 1; port <= 6; ++port)
+    for (uint8_t copy : {0, 1, 2})
+      bench.opens(port, copy);
+  bench.pass(Duration(500'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  EXPECT_EQ(bench.Router.silentServers(), 0U);
+}
+
+// The same copies, each at its time: nobody answers, and the caller sends no
+// more.
+TEST(OpeningStoriesTest, ACallerIsToldOnceNobodyAnswersItsLastCopy) {
+  PacketBench bench;
+  bench.usual();
+  bench.opens(1, 0);
+  bench.pass(Duration(200'000));
+  bench.opens(1, 1);
+  bench.pass(Duration(400'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  bench.opens(1, 2);
+  bench.pass(Duration(300'000));
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoAnswer));
+}
+
+/// Copies that come here, each at its time; the others go to another daemon.
+struct SomeCopies {
+  const char *Name;
+  std::vector<uint8_t> Copies;
+};
+
+class EachSomeCopies : public testing::TestWithParam<SomeCopies> {};
+
+// Story: the fabric moves a caller between two copies of its opening. A daemon
+// that did not get them all can't know what became of the others: the flow may
+// be open, and a reset would break it.
+TEST_P(EachSomeCopies, ResetNothing) {
+  PacketBench bench;
+  bench.usual();
+  TimePoint began = bench.Now;
+  for (uint8_t copy : GetParam().Copies) {
+    bench.pass(began + PacketBench::copyAge(copy) - bench.Now);
+    bench.opens(1, copy);
+  }
+  bench.pass(Duration(500'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Copies, EachSomeCopies,
+                         testing::Values(SomeCopies{"NotTheFirst", {1, 2}},
+                                         SomeCopies{"NotTheSecond", {0, 2}},
+                                         SomeCopies{"NotTheLast", {0, 1}},
+                                         SomeCopies{"OnlyTheLast", {2}}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
+// Story: operators take a failure domain out, and it is cut off from the others
+// at the same time. Its callers can't be served, and each waited until its time
+// was over. Once the servers out of reach have refused connections too, callers
+// are told at once; as soon as one is back, they are served.
+TEST(OpeningStoriesTest, CallersAreToldAtOnceThatAllServersAreOutOfReach) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}});
+  bench.servers({{"b1", "bern-b"}, {"b2", "bern-b"}});
+  for (uint16_t port = 1; port <= 4; ++port)
+    bench.opens(port);
+  bench.pass(Duration(100'000));
+  bench.opens(5);
+  EXPECT_EQ(bench.lastTag() != 0, true) << "silent, but not yet asked by us";
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  auto endAttempts = [&](AttemptEnd how) {
+    for (const ConnectionAttempt &it : bench.Router.dueAttempts(bench.Now))
+      bench.Router.attemptEnded(bench.Now, it.Server, how, bench.Out);
+  };
+  endAttempts(AttemptEnd::NotAttempted);
+  bench.opens(6);
+  EXPECT_TRUE(bench.Out.Resets.empty()) << "nothing is known";
+  bench.pass(Duration(900'000));
+  endAttempts(AttemptEnd::Failed);
+  size_t sent = bench.Out.Sent.size();
+  size_t resets = bench.Out.Resets.size();
+  bench.opens(7);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
+  EXPECT_EQ(bench.Out.Sent.size(), sent) << "so it is true that nothing ran";
+  EXPECT_TRUE(
+      bench.Out.told(PacketEventKind::Refused, PacketReason::Unreachable));
+  bench.opens(8, 1);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1) << "its flow may be open";
+  bench.pass(Duration(900'000));
+  endAttempts(AttemptEnd::Connected);
+  bench.opens(9);
+  EXPECT_NE(bench.lastTag(), 0U);
+  EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
+}
+
+} // namespace
+} // namespace balsamrack
