Let starts cost few copies of what is published

A replay in virtual time (85 daemons, 200 servers, a revision each 10 ms) gives two causes: each daemon told its domain and others what it listed first, 4,824 objects a daemon at a start; and since a listing counts as a change, each that lagged behind a new daemon's listing was sent everything, 223 objects a second and daemon at a restart a second (62 before that). Change: a first listing is offered, not told; marks carry a hash of the objects that exist, and who holds the same is complete without a transfer; requests that offers give rise to are 50 ms apart. StartsCostFewCopiesOfEverything plays it; TheSameObjectsCompleteWithoutATransfer.

--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -119,6 +119,7 @@
 void fields(Ar &ar, typename Ar::template Ref<SectionMark> m) {
   ar("a", m.As);
   ar("l", m.LastChange);
+  ar("p", m.Present);
   ar("g", m.Age);
 }
 
--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -106,12 +106,15 @@
   if (!read.MayBeOld)
     state.ProvedAt = now;
   Revision before = Store.completeAs(read.Section);
-  if (merge(*result, VmId())) {
-    PublishedChanges news = Store.changesAfter(read.Section, before);
-    tellFleet(now, std::move(news));
-  } else if (reads() && !read.MayBeOld) {
+  bool changed = merge(*result, VmId());
+  // What a daemon lists first is no news to those that run; whoever lacks it
+  // asks. Told to all, it would cost each daemon of a fleet that starts two
+  // dozen copies of everything.
+  bool news = changed && before != Revision{};
+  if (news)
+    tellFleet(now, Store.changesAfter(read.Section, before));
+  else if (changed || (reads() && !read.MayBeOld))
     offerDomain(now);
-  }
   readIfWanted(now, read.Section);
   return take();
 }
@@ -145,7 +148,8 @@
     TimePoint proved = at(section).ProvedAt;
     Duration age = proved == TimePoint{} ? NeverProved
                                          : std::min(now - proved, NeverProved);
-    all.push_back({Store.completeAs(section), Store.lastChange(section), age});
+    all.push_back({Store.completeAs(section), Store.lastChange(section),
+                   Store.presentHash(section), age});
   }
   return all;
 }
@@ -163,7 +167,7 @@
     const SectionMark &theirs = marks[i];
     PublishedSection section = AllSections[i];
     if (theirs.As > Store.completeAs(section))
-      Store.completeUpTo(section, theirs.LastChange, theirs.As);
+      Store.completeUpTo(section, theirs.LastChange, theirs.As, theirs.Present);
     // What they had proved to be the newest is no newer than what is held.
     bool held =
         theirs.As != Revision{} && theirs.As <= Store.completeAs(section);
@@ -183,8 +187,12 @@
                                               const EntryVm &from,
                                               const PublishedOffer &offer) {
   takeMarks(now, offer.Marks);
-  if (lacks(offer.Marks))
+  // Guards against a fleet that starts, where each daemon would be sent
+  // everything by everybody whose offer comes before the first answer.
+  if (lacks(offer.Marks) && now >= NextRequest) {
+    NextRequest = now + Settings.RequestPeriod;
     Actions.emplace_back(SendNews{from, request()});
+  }
   bool theyLack = false;
   for (size_t i = 0; i < std::min(offer.Marks.size(), AllSections.size()); ++i)
     theyLack = theyLack || offer.Marks[i].As < Store.completeAs(AllSections[i]);
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -26,6 +26,8 @@
   Duration TakeoverStep{200'000};   ///< The next one in a domain's order waits
                                     ///< longer by this, so that few read.
   Duration OfferPeriod{250'000};    ///< One peer is told what is held here.
+  Duration RequestPeriod{50'000};   ///< Between requests that offers give rise
+                                    ///< to: an answer takes some milliseconds.
   Duration MinBackoff{250'000};     ///< Between reads, after a failure.
   Duration MaxBackoff{2'000'000};   ///< After many failures.
   Duration OperatorsPeriod{20'000}; ///< Between reads of what operators
@@ -148,7 +150,8 @@
   PublishedStore Store;                                 ///< What is held.
   std::array<SectionState, PublishedSections> Sections; ///< By section.
   std::vector<EntryVm> Peers;                           ///< Who lives.
-  TimePoint NextOffer;                                  ///< Of one random peer.
+  TimePoint NextRequest;           ///< Not before; see RequestPeriod.
+  TimePoint NextOffer;             ///< Of one random peer.
   bool DomainTurn = true;          ///< Whose turn the next offer is.
   std::vector<NewsAction> Actions; ///< Of the call under way.
 };
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -10,10 +10,11 @@
 
 /// What a daemon holds of one section.
 struct SectionMark {
-  Revision As;         ///< Complete up to here; zero: nothing.
-  Revision LastChange; ///< Newest change held.
-  Duration Age{0};     ///< Since a reader was told by the publishing service
-                       ///< that nothing newer exists.
+  Revision As;          ///< Complete up to here; zero: nothing.
+  Revision LastChange;  ///< See PublishedStore::lastChange().
+  uint64_t Present = 0; ///< See PublishedStore::presentHash().
+  Duration Age{0};      ///< Since a reader was told by the publishing service
+                        ///< that nothing newer exists.
 };
 
 /// Tells a peer what is held here.
--- a/Balsamrack/Published/PublishedStore.cpp
+++ b/Balsamrack/Published/PublishedStore.cpp
@@ -5,6 +5,11 @@
 
 namespace balsamrack {
 
+void PublishedStore::turn(Part &in, const PublishedObject &object) {
+  if (!object.gone())
+    in.Present ^= combineHash(stableHash(object.Name), object.At.Value);
+}
+
 bool PublishedStore::apply(Part &into, const PublishedObject &object) {
   auto it = into.Objects.find(object.Name);
   Revision known = it == into.Objects.end() ? into.CompleteAs : it->second.At;
@@ -13,6 +18,9 @@
   bool wasGone = it == into.Objects.end() || it->second.gone();
   if (object.gone() && !wasGone)
     into.Gone.push_back(object.Name);
+  if (it != into.Objects.end())
+    turn(into, it->second);
+  turn(into, object);
   into.Objects[object.Name] = object;
   into.LastChange = std::max(into.LastChange, object.At);
   return !(object.gone() && wasGone);
@@ -50,6 +58,7 @@
     for (auto &[name, object] : into.Objects) {
       if (object.gone() || object.At > changes.As || listed.count(name))
         continue;
+      turn(into, object);
       object.At = changes.As;
       object.Content = std::monostate();
       into.LastChange = std::max(into.LastChange, object.At);
@@ -71,10 +80,17 @@
 }
 
 bool PublishedStore::completeUpTo(PublishedSection section, Revision lastChange,
-                                  Revision as) {
+                                  Revision as, uint64_t presentHash) {
   Part &into = Parts[static_cast<size_t>(section)];
-  if (into.CompleteAs == Revision{} || into.CompleteAs < lastChange)
+  if (into.CompleteAs == Revision{})
     return false;
+  if (into.CompleteAs < lastChange) {
+    if (presentHash != into.Present)
+      return false;
+    // The same objects exist, but what came and went in between is not known.
+    into.ForgotUpTo = std::max(into.ForgotUpTo, as);
+    into.LastChange = std::max(into.LastChange, lastChange);
+  }
   into.CompleteAs = std::max(into.CompleteAs, as);
   return true;
 }
--- a/Balsamrack/Published/PublishedStore.h
+++ b/Balsamrack/Published/PublishedStore.h
@@ -24,7 +24,8 @@
 public:
   /// Objects that are gone are remembered up to this number, so that peers
   /// that lag can be told by a list of changes; a peer that lags further gets
-  /// everything. More are remembered only beyond a gap, until it is filled. A thousand cover about a day of server changes of a site.
+  /// everything. More are remembered only beyond a gap, until it is filled. A
+  /// thousand cover about a day of server changes of a site.
   static constexpr size_t MaxGone = 1000;
 
   /// Merges \p changes; returns the objects whose state changed, as they are
@@ -42,10 +43,17 @@
   Revision lastChange(PublishedSection section) const {
     return part(section).LastChange;
   }
-  /// A peer knows that nothing in \p section has changed after \p lastChange, up
-  /// to \p as. When \p section is complete here up to \p lastChange, it is so up
-  /// to \p as; true then.
-  bool completeUpTo(PublishedSection section, Revision lastChange, Revision as);
+  /// A peer knows that nothing in \p section has changed after \p lastChange,
+  /// up to \p as, and holds objects with \p presentHash. When \p section is
+  /// complete here up to \p lastChange, or the same objects are held, it is
+  /// complete up to \p as; true then. Without the second way each daemon that
+  /// starts, and has only listed, would send everything to all others.
+  bool completeUpTo(PublishedSection section, Revision lastChange, Revision as,
+                    uint64_t presentHash);
+  /// Hash of the names and revisions of the objects of \p section that exist.
+  uint64_t presentHash(PublishedSection section) const {
+    return part(section).Present;
+  }
   /// True when all sections are completely known up to some revision.
   bool complete() const;
   /// What a holder of \p section up to \p after lacks.
@@ -60,12 +68,15 @@
     Revision LastChange; ///< See lastChange().
     Revision ForgotUpTo; ///< Objects that went up to here may not be known.
     std::map<std::string, PublishedObject> Objects; ///< Gone ones included.
+    uint64_t Present = 0;                           ///< See presentHash().
     std::deque<std::string> Gone; ///< Names of gone objects, oldest first.
   };
 
   const Part &part(PublishedSection section) const {
     return Parts[static_cast<size_t>(section)];
   }
+  /// Takes \p object into, or out of, the hash of those that exist.
+  static void turn(Part &in, const PublishedObject &object);
   static bool apply(Part &into, const PublishedObject &object);
   static void forgetOldest(Part &from);
 
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -86,7 +86,7 @@
       PublishedSection::Servers, "i-80", {11}, std::monostate()};
   return {{{PublishedSection::Operators, {5}, {12}, {configuration(), out}},
            {PublishedSection::Servers, {}, {12}, {publishedServer(), gone}}},
-          {{{12}, {10}, Duration(3)}, {{12}, {11}, Duration(4)}},
+          {{{12}, {10}, 77, Duration(3)}, {{12}, {11}, 78, Duration(4)}},
           true};
 }
 
@@ -159,7 +159,7 @@
                          1,
                          true,
                          {VmId("vm-1"), VmId("vm-2")}},
-          PublishedOffer{{{{12}, {10}, Duration(3)}}, true},
+          PublishedOffer{{{{12}, {10}, 77, Duration(3)}}, true},
           PublishedRequest{{{12}, {11}}},
           publishedUpdate()};
 }
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -91,6 +91,22 @@
   EXPECT_LE(calls, 5U * 5 * 3);
 }
 
+// Load: 85 daemons start together, and then one a second is replaced. Each
+// lists the service by itself; told to all, each listing would cost its domain
+// and some others a copy of everything, which grows with the fleet and with
+// what is published.
+TEST(NewsExchangeTest, StartsCostFewCopiesOfEverything) {
+  NewsFleet fleet(5, 17, 1);
+  fleet.run(Second * 5);
+  EXPECT_LE(fleet.ObjectsTold, fleet.Nodes.size() * 2);
+  fleet.ObjectsTold = 0;
+  for (size_t i = 0; i < 10; ++i) {
+    fleet.restart(i * 7 % fleet.Nodes.size());
+    fleet.run(Second);
+  }
+  EXPECT_LE(fleet.ObjectsTold, fleet.Nodes.size() / 2);
+}
+
 /// Reads of the service a second and messages a second, a daemon, in calm
 /// times.
 struct Size {
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/NewsFleet.h
@@ -119,6 +119,7 @@
   }
 
   std::vector<Node> Nodes;
+  uint64_t ObjectsTold = 0; ///< In updates, by all nodes.
   uint64_t Version = 0;
   TimePoint Now{Duration(1'000'000)};
 
@@ -166,6 +167,9 @@
   }
   void deliver(size_t from, const SendNews &send) {
     ++Nodes[from].Messages;
+    if (const auto *update = std::get_if<PublishedUpdate>(&send.What))
+      for (const PublishedChanges &it : update->Changes)
+        ObjectsTold += it.Objects.size();
     size_t to = indexOf(send.To.Id);
     SendNews copy = send;
     after(Duration(2'000), [this, from, to, copy] {
--- a/UnitTests/Published/PublishedStoreTest.cpp
+++ b/UnitTests/Published/PublishedStoreTest.cpp
@@ -97,10 +97,28 @@
   cutOff.merge({Section, {4}, {10}, {server("b", 5)}});
   PublishedStore fresh;
   fresh.merge({Section, {}, {20}, {server("b", 5)}});
-  EXPECT_FALSE(cutOff.completeUpTo(Section, fresh.lastChange(Section), {20}));
+  EXPECT_FALSE(cutOff.completeUpTo(Section, fresh.lastChange(Section), {20},
+                                   fresh.presentHash(Section)));
   EXPECT_EQ(cutOff.completeAs(Section), Revision{10});
 }
 
+// Load: a daemon starts and lists the store; its peers lag behind its listing
+// by a moment. Nothing has changed in between, and they need not be sent
+// everything.
+TEST(PublishedStoreTest, TheSameObjectsCompleteWithoutATransfer) {
+  PublishedStore store;
+  store.merge({Section, {}, {10}, {server("a", 3), server("b", 4)}});
+  store.merge({Section, {10}, {12}, {goneServer("a", 12), server("c", 11)}});
+  PublishedStore fresh;
+  fresh.merge({Section, {}, {20}, {server("b", 4), server("c", 11)}});
+  EXPECT_EQ(store.presentHash(Section), fresh.presentHash(Section));
+  EXPECT_TRUE(store.completeUpTo(Section, fresh.lastChange(Section), {20},
+                                 fresh.presentHash(Section)));
+  EXPECT_EQ(store.completeAs(Section), Revision{20});
+  // What came and went between 12 and 20 is not known, so it isn't told.
+  EXPECT_EQ(store.changesAfter(Section, {15}).After, Revision{});
+}
+
 // Story: a daemon hears of many removals that lie beyond what it has
 // completely, so many that it forgets some. An older listing then brings one of
 // the removed servers back to it.
@@ -137,11 +155,11 @@
 TEST(PublishedStoreTest, SameNewestChangeCompletesWithoutATransfer) {
   PublishedStore store;
   store.merge({Section, {}, {10}, {server("a", 3)}});
-  EXPECT_FALSE(store.completeUpTo(Section, {11}, {30}));
+  EXPECT_FALSE(store.completeUpTo(Section, {11}, {30}, 0));
   EXPECT_EQ(store.completeAs(Section), Revision{10});
-  EXPECT_TRUE(store.completeUpTo(Section, {3}, {20}));
+  EXPECT_TRUE(store.completeUpTo(Section, {3}, {20}, 0));
   // A change that the listing at 10 has seen, such as a removal.
-  EXPECT_TRUE(store.completeUpTo(Section, {5}, {30}));
+  EXPECT_TRUE(store.completeUpTo(Section, {5}, {30}, 0));
   EXPECT_EQ(store.completeAs(Section), Revision{30});
 }
 
