--- a/Soak/SoakFaults.cpp
+++ b/Soak/SoakFaults.cpp
@@ -18,6 +18,9 @@
 /// machine.
 constexpr Duration StopLimit{7'000'000};
 constexpr Duration LookPeriod{50'000};
+/// A process that is still being loaded has no signal handler yet and ends by
+/// SIGTERM itself. Nothing is lost: it was never ready.
+constexpr Duration LoadingSpan{500'000};
 /// Servers drain for so long, and their addresses rest before they are used
 /// again.
 constexpr Duration DrainSpan{3'500'000};
@@ -31,7 +34,7 @@
 SoakFaults::SoakFaults(SoakFleet &fleet, uint64_t seed, TimePoint from,
                        Duration length)
     : Fleet(fleet), Random(seed), Down(SoakFleet::Daemons),
-      Replacing(SoakFleet::ServerPlaces) {
+      StartedAt(SoakFleet::Daemons, from), Replacing(SoakFleet::ServerPlaces) {
   TimePoint when = from;
   for (when += some(LeastGapMillis, MostGapMillis); when < from + length;
        when += some(LeastGapMillis, MostGapMillis))
@@ -114,7 +117,8 @@
 }
 
 void SoakFaults::startLater(TimePoint now, size_t daemon) {
-  at(now + some(100, 1500), [this, daemon](TimePoint) {
+  at(now + some(100, 1500), [this, daemon](TimePoint then) {
+    StartedAt[daemon] = then;
     absl::Status status = Fleet.startDaemon(daemon);
     if (!status.ok())
       Broken.push_back(absl::StrCat("daemon ", daemon, " can't be started: ",
@@ -138,7 +142,10 @@
     if (process->running() && later - sent < StopLimit)
       return awaitStopped(later, daemon, sent);
     auto code = process->awaitEnd(Duration{0});
-    if (!code.ok() || *code != 0)
+    bool loading = sent - StartedAt[daemon] < LoadingSpan;
+    bool endedInTime =
+        code.ok() && (*code == 0 || (loading && *code == -SIGTERM));
+    if (!endedInTime)
       Broken.push_back(absl::StrCat("daemon ", daemon, " after SIGTERM: ",
                                     code.ok() ? absl::StrCat("exit ", *code)
                                               : "does not end"));
--- a/Soak/SoakFaults.h
+++ b/Soak/SoakFaults.h
@@ -56,8 +56,9 @@
   std::multimap<TimePoint, Work> Due;
   std::map<std::string, int> Counts;
   std::vector<std::string> Broken;
-  std::vector<bool> Down;      ///< By daemon: ended by us, or ending.
-  std::vector<bool> Replacing; ///< By server place.
+  std::vector<bool> Down;           ///< By daemon: ended by us, or ending.
+  std::vector<TimePoint> StartedAt; ///< By daemon: of its last start.
+  std::vector<bool> Replacing;      ///< By server place.
   bool DomainIsOut = false;
   bool HasPassing = false;
   TimePoint DroppedAt;
