Let a reset for want of an answer wait until a lost packet has come again

Traced in their logs: a daemon fell asleep between two copies, which then came late, not too fast; and a reset 20 ms after the last copy hit a flow whose server had just answered it and whose first packet was lost or late. Change: copies must come at their times both ways, and the reset waits for 450 ms after the last copy: callers send a lost packet again after 200 ms and give up after 800 ms.

--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -40,8 +40,8 @@
   uint8_t Copy = 0;       ///< Highest number of a copy of the opening.
   uint8_t CopiesSeen = 0; ///< One bit for each copy that came here.
   FlowStage Stage = FlowStage::Opening; ///< See there.
-  bool Delayed = false; ///< Copies of the opening came faster than callers send
-                        ///< them: they had waited on their way, or here.
+  bool Delayed = false; ///< Copies of the opening came at other times than
+                        ///< callers send them: they had waited somewhere.
   bool Counted = false; ///< Counts as in progress at Home.
   ServerIndex Home = NoServerIndex; ///< Where its packets go.
   uint32_t FirstSequence = 0; ///< Of the opening: tells a new flow on the same
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -13,7 +13,7 @@
 constexpr TimePoint Never = TimePoint(Duration::max());
 /// Callers send the opening and two copies of it.
 constexpr uint8_t AllCopies = 0b111;
-/// Copies may come closer to each other by so much for the network's and this
+/// Copies may come earlier or later by so much for the network's and this
 /// process's own lateness; callers send them 200 and 400 ms apart.
 constexpr Duration CopyJitter{100'000};
 
@@ -150,7 +150,8 @@
   flow.LastSeen = now;
   flow.Copy = std::max(flow.Copy, head.Copy);
   flow.CopiesSeen |= copyBit(head.Copy);
-  if (now - flow.OpenedAt + CopyJitter < head.Age - flow.FirstAge)
+  Duration late = (now - flow.OpenedAt) - (head.Age - flow.FirstAge);
+  if (late < -CopyJitter || late > CopyJitter)
     flow.Delayed = true;
   if (flow.Stage != FlowStage::Opening) {
     forward(flow.Home, bytes, n, out);
@@ -370,6 +371,13 @@
   // the reset would break it.
   if (flow->CopiesSeen != AllCopies || flow->Delayed)
     return;
+  // And only when its first packet to a server has had time to come again.
+  if (now - flow->LastSeen < Settings.LastCopyPatience) {
+    WaitingOpening again = waiting;
+    again.Due = flow->LastSeen + Settings.LastCopyPatience;
+    Waiting.push_back(again);
+    return;
+  }
   refuse(waiting.Opening.Head, PacketReason::NoAnswer, out);
   flow->Stage = FlowStage::Ending;
 }
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -29,8 +29,13 @@
   size_t MaxFlows = 100'000;  ///< Flows remembered, some 100 bytes each.
   Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
                                    ///< forgotten; callers give up after 1.4 s.
-  Duration EndingKeep{3'000'000};  ///< Packets may follow the end of a flow:
-                                   ///< retransmissions wait 1.6 s at most.
+  Duration LastCopyPatience{
+      450'000};                   ///< From an opening's last copy to a reset
+                                  ///< for want of an answer: callers send a
+                                  ///< lost packet again after 200 ms, and
+                                  ///< give up 800 ms after that copy.
+  Duration EndingKeep{3'000'000}; ///< Packets may follow the end of a flow:
+                                  ///< retransmissions wait 1.6 s at most.
   Duration OpenKeep{20'000'000}; ///< A silent open flow is forgotten; its token
                                  ///< still names its server.
   SilenceSettings Silence;       ///< Of the silence detector.
--- a/Soak/SoakFaults.cpp
+++ b/Soak/SoakFaults.cpp
@@ -18,8 +18,9 @@
 /// machine.
 constexpr Duration StopLimit{7'000'000};
 constexpr Duration LookPeriod{50'000};
-/// A process that is still being loaded has no signal handler yet and ends by
-/// SIGTERM itself. Nothing is lost: it was never ready.
+/// A process that is still being loaded has no signal handler yet, and SIGTERM
+/// or SIGHUP end it. Nothing is lost: it was never ready, and whoever runs it
+/// starts it again.
 constexpr Duration LoadingSpan{500'000};
 /// Servers drain for so long, and their addresses rest before they are used
 /// again.
@@ -53,18 +54,25 @@
     Due.erase(Due.begin());
     work(now);
   }
-  lookAtDaemons();
+  lookAtDaemons(now);
   return !Due.empty();
 }
 
-void SoakFaults::lookAtDaemons() {
+void SoakFaults::lookAtDaemons(TimePoint now) {
   for (size_t i = 0; i < SoakFleet::Daemons; ++i) {
     Process *daemon = Fleet.daemon(i);
     if (Down[i] || !daemon || daemon->running())
       continue;
-    Broken.push_back(absl::StrCat("daemon ", i, " ended by itself"));
+    auto code = daemon->awaitEnd(Duration{0});
     Down[i] = true;
     Fleet.daemonEnded(i);
+    if (code.ok() && *code == -SIGHUP && now - StartedAt[i] < LoadingSpan) {
+      ++Counts["hup-while-loading"];
+      startLater(now, i);
+      continue;
+    }
+    Broken.push_back(absl::StrCat("daemon ", i, " ended by itself: code ",
+                                  code.ok() ? *code : 0));
   }
 }
 
--- a/Soak/SoakFaults.h
+++ b/Soak/SoakFaults.h
@@ -49,7 +49,7 @@
   void changeRoutes(TimePoint now);
   void takeDomainOut(TimePoint now, size_t domain);
   bool lastOfItsService(size_t place) const;
-  void lookAtDaemons();
+  void lookAtDaemons(TimePoint now);
 
   SoakFleet &Fleet;
   SeededRandom Random;
--- a/UnitTests/Packets/OpeningStoriesTest.cpp
+++ b/UnitTests/Packets/OpeningStoriesTest.cpp
@@ -71,6 +71,37 @@
   EXPECT_EQ(bench.Router.silentServers(), 0U);
 }
 
+// Story: as above, but the daemon falls asleep after the first copy was sent
+// on. The others come to it late, though not too fast.
+TEST(OpeningStoriesTest, ADaemonThatFellAsleepBetweenCopiesResetsNothing) {
+  PacketBench bench;
+  bench.usual();
+  bench.opens(1, 0);
+  bench.Now += Duration(970'000);
+  bench.opens(1, 1);
+  bench.opens(1, 2);
+  bench.pass(Duration(900'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+}
+
+// Story: a server is well again just when a seller's last copy comes. The
+// seller has its answer, but its first packet to the server is lost. It comes
+// again after 200 ms; a reset in between broke the open flow.
+TEST(OpeningStoriesTest, ALostFirstPacketHasTimeToComeAgain) {
+  PacketBench bench;
+  bench.usual();
+  bench.opens(1, 0);
+  bench.pass(Duration(200'000));
+  bench.opens(1, 1);
+  bench.pass(Duration(400'000));
+  bench.opens(1, 2);
+  uint32_t token = bench.lastToken();
+  bench.pass(Duration(250'000));
+  bench.speaks(1, token);
+  bench.pass(Duration(900'000));
+  EXPECT_TRUE(bench.Out.Resets.empty());
+}
+
 // The same copies, each at its time: nobody answers, and the caller sends no
 // more.
 TEST(OpeningStoriesTest, ACallerIsToldOnceNobodyAnswersItsLastCopy) {
@@ -82,7 +113,9 @@
   bench.pass(Duration(400'000));
   EXPECT_TRUE(bench.Out.Resets.empty());
   bench.opens(1, 2);
-  bench.pass(Duration(300'000));
+  bench.pass(Duration(400'000));
+  EXPECT_TRUE(bench.Out.Resets.empty()) << "its answer may have been lost";
+  bench.pass(Duration(100'000));
   EXPECT_EQ(bench.Out.Resets.size(), 1U);
   EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoAnswer));
 }
