Let last copies wait apart from other openings

The mend before put an opening that waits for 450 ms after its last copy into the queue of all openings, which is looked at in the order of arrival; everything behind it waited for it, so that second copies to other servers came up to half a second late while one service was dark. ACallersLastCopyHoldsUpNobodyElse failed first. Change: they stand in a queue of their own.

--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -294,16 +294,23 @@
   return attempts;
 }
 
-void PacketRouter::tick(TimePoint now, PacketSink &out) {
+void PacketRouter::tickWaiting(TimePoint now,
+                               std::deque<WaitingOpening> &waiting,
+                               PacketSink &out) {
   // Most are answered long before they are due; dropping those here spares a
   // wake-up for each.
-  while (!Waiting.empty() &&
-         (Waiting.front().Due <= now || !stillWaits(Waiting.front()))) {
-    WaitingOpening waiting = Waiting.front();
-    Waiting.pop_front();
-    if (stillWaits(waiting))
-      openingDue(now, waiting, out);
+  while (!waiting.empty() &&
+         (waiting.front().Due <= now || !stillWaits(waiting.front()))) {
+    WaitingOpening first = waiting.front();
+    waiting.pop_front();
+    if (stillWaits(first))
+      openingDue(now, first, out);
   }
+}
+
+void PacketRouter::tick(TimePoint now, PacketSink &out) {
+  tickWaiting(now, Waiting, out);
+  tickWaiting(now, LastCopies, out);
   goOnWithHeld(now, out);
   goOnWithLate(now, out);
   Duration openKeep = Settings.OpenKeep;
@@ -375,7 +382,7 @@
   if (now - flow->LastSeen < Settings.LastCopyPatience) {
     WaitingOpening again = waiting;
     again.Due = flow->LastSeen + Settings.LastCopyPatience;
-    Waiting.push_back(again);
+    LastCopies.push_back(again);
     return;
   }
   refuse(waiting.Opening.Head, PacketReason::NoAnswer, out);
@@ -384,6 +391,8 @@
 
 TimePoint PacketRouter::nextWakeup() const {
   TimePoint next = Waiting.empty() ? Never : Waiting.front().Due;
+  if (!LastCopies.empty())
+    next = std::min(next, LastCopies.front().Due);
   // Slots get free as packets come in, and each packet is followed by a tick.
   if (!Late.empty() && Routes)
     next = std::min(next, Late.front().Until);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -140,6 +140,8 @@
                         RememberedFlow &spare, PacketSink &out);
   void confirm(TimePoint now, RememberedFlow &flow, const PacketHead &head,
                PacketSink &out);
+  void tickWaiting(TimePoint now, std::deque<WaitingOpening> &waiting,
+                   PacketSink &out);
   bool stillWaits(const WaitingOpening &waiting);
   void openingDue(TimePoint now, const WaitingOpening &waiting,
                   PacketSink &out);
@@ -178,10 +180,13 @@
   HeldOpenings Held;                          ///< Wait for news.
   HeldOpenings Late;                          ///< Wait for a free slot.
   std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
-  std::vector<OpeningCandidate> Candidates;   ///< Reused between choices.
-  size_t Daemons = 1;                         ///< Of the fleet.
-  size_t Self = 0;                            ///< Place of this one.
-  bool Stale = false;                         ///< See setStale().
+  /// Last copies until a reset, in order of Due; apart, since they wait longer
+  /// and would hold up the others.
+  std::deque<WaitingOpening> LastCopies;
+  std::vector<OpeningCandidate> Candidates; ///< Reused between choices.
+  size_t Daemons = 1;                       ///< Of the fleet.
+  size_t Self = 0;                          ///< Place of this one.
+  bool Stale = false;                       ///< See setStale().
 };
 
 } // namespace balsamrack
--- a/UnitTests/Packets/OpeningStoriesTest.cpp
+++ b/UnitTests/Packets/OpeningStoriesTest.cpp
@@ -102,6 +102,28 @@
   EXPECT_TRUE(bench.Out.Resets.empty());
 }
 
+// Story: a service's only server is dark, and one of its callers waits for the
+// end of its last copy's time. The openings of all other callers, whose servers
+// are silent too, waited behind it for half a second before another server got
+// them.
+TEST(OpeningStoriesTest, ACallersLastCopyHoldsUpNobodyElse) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}, {444, "plans"}});
+  bench.servers(
+      {{"b1", "bern-a"}, {"b2", "bern-a"}, {"b7", "bern-a", "plans"}});
+  bench.opens(1, 0, 444);
+  bench.pass(Duration(200'000));
+  bench.opens(1, 1, 444);
+  bench.pass(Duration(400'000));
+  bench.opens(1, 2, 444);
+  bench.pass(Duration(100'000));
+  ASSERT_TRUE(bench.Out.Resets.empty()) << "still has time";
+  bench.opens(2);
+  uint64_t first = bench.lastTag();
+  bench.pass(Duration(100'000));
+  EXPECT_NE(bench.lastTag(), first) << "another server has it by now";
+}
+
 // The same copies, each at its time: nobody answers, and the caller sends no
 // more.
 TEST(OpeningStoriesTest, ACallerIsToldOnceNobodyAnswersItsLastCopy) {
