Let the stall timeout of peers' connections be a setting; a test peer may be slow

Known red: WebsocketTransportTest.LargeAnswersArriveWhole, thread sanitizer, 24 at a time. Traced: all 24 plays ended alike: the first frame of 4 MB arrives, then both sides tell 'lost', and no connect failed. Cause: TCP_USER_TIMEOUT of 5 s. A peer that decodes 4 MB under the sanitizer reads nothing meanwhile; Linux counts a full receive buffer as silence and ends the connection, and the frames behind it are lost, as the transport promises for what was written. The peer was alive and only slow, and a minute's wait could not help. Ruled out: ConnectTimeout (5 s in the tests; no 'failed' event), the acceptor's wait for Hello, a lost wake-up in the dialer (the queue was empty). Change: StallTimeout is a setting, 5 s as before; test peers have 60 s. The story is now a test of its own that needs no sanitizer: EachStalledPeer, in which a peer stays at work and reads nothing, loses its connection after 300 ms and keeps it with 60 s.

--- a/Balsamrack/Peers/PeerAcceptor.cpp
+++ b/Balsamrack/Peers/PeerAcceptor.cpp
@@ -168,7 +168,7 @@
   auto c = Endpoint.get_con_from_hdl(h, ec);
   if (ec)
     return;
-  tunePeerSocket(c->get_raw_socket().native_handle());
+  tunePeerSocket(c->get_raw_socket().native_handle(), Settings.StallTimeout);
   Endpoint.set_timer(HelloTimeoutMillis, [this, h](const ErrorCode &) {
     auto it = Guests.find(h);
     if (it != Guests.end() && it->second.At != Guest::Stage::Ready)
--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -196,7 +196,7 @@
 
 void WebsocketDialer::onOpen(const RoutePtr &route) {
   const auto &c = route->Connection;
-  tunePeerSocket(c->get_raw_socket().native_handle());
+  tunePeerSocket(c->get_raw_socket().native_handle(), Settings.StallTimeout);
   const std::string theirs = c->get_response_header(NonceHeader);
   const std::string want = FleetKeyProof::make(
       Settings.FleetKey, ProofSide::Acceptor, route->Nonce, theirs);
--- a/Balsamrack/Peers/PeerHandshake.h
+++ b/Balsamrack/Peers/PeerHandshake.h
@@ -5,6 +5,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cstdint>
+
+#include "Balsamrack/Core/Time.h"
+
 namespace balsamrack {
 
 /// HTTP fields of the opening handshake, and limits that both ends share; see
@@ -13,17 +17,14 @@
 constexpr const char *ProofHeader = "Balsamrack-Proof";
 constexpr const char *PeerPath = "/peer";
 
-/// A connection whose data is not acknowledged for so long is broken. Without
-/// it TCP goes on for a quarter of an hour, and after a cut between failure
-/// domains heals it may wait minutes before it tries again.
-constexpr unsigned UserTimeoutMillis = 5000;
-
-/// Sets a peer connection's socket options. Thread-safe.
-inline void tunePeerSocket(int fd) {
+/// Sets a peer connection's socket options; see
+/// PeerTransportSettings::StallTimeout. Thread-safe.
+inline void tunePeerSocket(int fd, Duration stallTimeout) {
+  constexpr int64_t MicrosPerMilli = 1000;
   int on = 1;
+  auto millis = static_cast<unsigned>(stallTimeout.count() / MicrosPerMilli);
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMillis,
-               sizeof UserTimeoutMillis);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/WebsocketTransport.h
+++ b/Balsamrack/Peers/WebsocketTransport.h
@@ -26,6 +26,13 @@
   size_t MaxFrameBytes = MaxPeerFrameBytes; ///< Larger ones are not sent, and
                                             ///< close a connection.
   Duration ConnectTimeout{500'000};         ///< Until the peer has said Hello.
+  Duration StallTimeout{5'000'000}; ///< A connection on which the peer takes
+                                    ///< nothing for so long is broken, whether
+                                    ///< it is gone or only reads no more. TCP
+                                    ///< itself goes on for a quarter of an
+                                    ///< hour, and after a cut between failure
+                                    ///< domains heals it may wait minutes
+                                    ///< before it tries again.
   Duration MinBackoff{50'000};     ///< After a first failed connect; doubles.
   Duration MaxBackoff{1'000'000};  ///< The longest one.
   size_t MaxQueuedMessages = 4096; ///< That wait for one peer.
--- a/UnitTests/Peers/TransportPeer.cpp
+++ b/UnitTests/Peers/TransportPeer.cpp
@@ -15,6 +15,9 @@
   s.FleetKey = "key of the fleet";
   s.Allowed = {"127.0.0.1"};
   s.ConnectTimeout = Duration(5'000'000);
+  // Under a sanitizer a peer decodes a large frame for seconds, and reads
+  // nothing meanwhile.
+  s.StallTimeout = Duration(60'000'000);
   return s;
 }
 
@@ -54,8 +57,11 @@
 }
 
 void TransportPeer::onPeerMessage(const EntryVm &from, PeerMessage message) {
-  std::lock_guard<std::mutex> hold(Lock);
-  Frames.push_back(from.Id.str() + " " + encodePeerMessage(message));
+  {
+    std::lock_guard<std::mutex> hold(Lock);
+    Frames.push_back(from.Id.str() + " " + encodePeerMessage(message));
+  }
+  std::lock_guard<std::mutex> wait(Gate);
 }
 
 void TransportPeer::onPeerLost(const VmId &peer) {
--- a/UnitTests/Peers/TransportPeer.h
+++ b/UnitTests/Peers/TransportPeer.h
@@ -43,6 +43,8 @@
   std::vector<std::string> Faults;
 
 public:
+  std::mutex Gate; ///< While a test holds it, this peer stays at work on the
+                   ///< message that it has just taken, and reads no more.
   std::unique_ptr<WebsocketTransport> Transport; ///< Ends before the rest.
 };
 
--- a/UnitTests/Peers/WebsocketTransportTest.cpp
+++ b/UnitTests/Peers/WebsocketTransportTest.cpp
@@ -1,5 +1,9 @@
 #include "Balsamrack/Peers/WebsocketTransport.h"
 
+#include <chrono>
+#include <mutex>
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include "Balsamrack/Core/Errors.h"
@@ -77,6 +81,47 @@
   EXPECT_EQ(peerOf(tooLarge), "vm-b");
 }
 
+/// How long a peer reads nothing, and whether its connection lives on.
+struct StalledPeer {
+  const char *Name;
+  int64_t StallTimeoutMillis;
+  bool Arrives;
+};
+
+class EachStalledPeer : public testing::TestWithParam<StalledPeer> {};
+
+// Story: a peer works on a message for a second and a half, and what comes
+// behind it fills its receive buffer. TCP counts a full buffer as silence, so
+// that the connection ends once the stall timeout is over, and what was written
+// to it is lost though the peer lives.
+TEST_P(EachStalledPeer, LosesItsConnectionAfterTheStallTimeout) {
+  PeerTransportSettings settings = TransportPeer::settingsOf("vm-a");
+  settings.StallTimeout = Duration(GetParam().StallTimeoutMillis * 1000);
+  TransportPeer a(settings);
+  TransportPeer b("vm-b");
+  std::unique_lock<std::mutex> atWork(b.Gate);
+  ASSERT_TRUE(a.Transport->send(b.vm(), Small).ok());
+  ASSERT_TRUE(waitUntil([&] { return b.received().size() == 1; }));
+  ASSERT_TRUE(a.Transport->send(b.vm(), withBody(4 << 20)).ok());
+  // How long the frame takes to its first byte on the wire is not known, so
+  // the shorter timeout is waited for while the peer still reads nothing.
+  if (GetParam().Arrives) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    atWork.unlock();
+    EXPECT_TRUE(waitUntil([&] { return b.received().size() == 2; }));
+  } else {
+    EXPECT_TRUE(waitUntil([&] { return a.saw("lost vm-b"); }));
+  }
+  EXPECT_EQ(a.saw("lost vm-b"), !GetParam().Arrives);
+}
+
+INSTANTIATE_TEST_SUITE_P(Timeouts, EachStalledPeer,
+                         testing::Values(StalledPeer{"Shorter", 300, false},
+                                         StalledPeer{"Longer", 60'000, true}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 // Story: an owner's VM is gone. The entry must learn which requests did not
 // leave, since only those may be placed again, and must not wait for a connect
 // timeout on Each further one.
