Count requests, not open flows, as work of a server

Hypothesis: on flows that stay open for many requests a flow counted as work from its opening to its end. Own slots then look full while they are idle (others_load stood at its bound of 3 in the logs of calm seconds), the wait at all servers looks long, near servers look no better than far ones, and late openings wait beside free slots. Change: CallerProgress follows requests by the caller's packets alone: data beyond all that came before begins one, acknowledged bytes of the server end it. Shares, waits, the rule of late openings and the quiet limit go by requests (RequestTime instead of FlowTime).

--- a/Balsamrack/Decisions/LateOpenings.cpp
+++ b/Balsamrack/Decisions/LateOpenings.cpp
@@ -12,7 +12,7 @@
 constexpr int PartsOfPatience = 4;
 /// One before the work, one after it.
 constexpr int Handshakes = 2;
-/// Of a flow's time, should a handshake be measured longer than the flow.
+/// Of a request's time, should a handshake be measured longer than that.
 constexpr double LeastPartAtWork = 0.25;
 
 } // namespace
@@ -29,10 +29,10 @@
 
 bool slotsTaken(const OwnSlots &slots) {
   double atWork = 1;
-  if (slots.FlowTime > Duration{0}) {
-    auto whole = static_cast<double>(slots.FlowTime.count());
+  if (slots.RequestTime > Duration{0}) {
+    auto whole = static_cast<double>(slots.RequestTime.count());
     auto work = static_cast<double>(
-        (slots.FlowTime - Handshakes * slots.Handshake).count());
+        (slots.RequestTime - Handshakes * slots.Handshake).count());
     atWork = std::max(work / whole, LeastPartAtWork);
   }
   return slots.Load * atWork >= 1;
--- a/Balsamrack/Decisions/LateOpenings.h
+++ b/Balsamrack/Decisions/LateOpenings.h
@@ -30,15 +30,15 @@
 
 /// How busy a daemon keeps the slots that are its own.
 struct OwnSlots {
-  double Load = 0;      ///< Own flows in progress by own slots.
-  Duration FlowTime{0}; ///< Usual time of a flow; zero: not known.
+  double Load = 0;         ///< Own requests in progress by own slots.
+  Duration RequestTime{0}; ///< Usual time of a request; zero: not known.
   Duration Handshake{
       0}; ///< Usual time of an opening's answer; zero: not known.
 };
 
-/// True when the own slots are all at work. A flow is in progress before its
-/// request has reached the server and after the answer has left it, for about
-/// the time of a handshake each; only what lies between takes a slot. Without
+/// True when the own slots are all at work. A request is in progress before it
+/// has reached the server and after the answer has left that, for about the
+/// time of a handshake each; only what lies between takes a slot. Without
 /// that, daemons of short work far from their callers would see full slots
 /// where half of them are free. Pure, thread-safe.
 bool slotsTaken(const OwnSlots &slots);
--- a/Balsamrack/Packets/FlowMemory.h
+++ b/Balsamrack/Packets/FlowMemory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Balsamrack/Core/Time.h"
+#include "Balsamrack/Packets/CallerProgress.h"
 #include "Balsamrack/Packets/Packet.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -42,7 +43,7 @@
   FlowStage Stage = FlowStage::Opening; ///< See there.
   bool Delayed = false; ///< Copies of the opening came at other times than
                         ///< callers send them: they had waited somewhere.
-  bool Counted = false; ///< Counts as in progress at Home.
+  bool Counted = false; ///< A request of it counts as in progress at Home.
   ServerIndex Home = NoServerIndex; ///< Where its packets go.
   uint32_t FirstSequence = 0; ///< Of the opening: tells a new flow on the same
                               ///< ports from a copy.
@@ -50,6 +51,8 @@
   TimePoint OpenedAt;         ///< First copy of the opening, or adoption.
   TimePoint LastSeen;         ///< Last packet.
   TimePoint LastSent;         ///< Last copy of the opening sent on.
+  CallerProgress Progress;    ///< Of its requests.
+  TimePoint CountedAt;        ///< Since when it is Counted.
 
   /// True when \p server got the opening.
   bool tried(ServerIndex server) const;
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -108,7 +108,7 @@
                                PacketSink &out) {
   bool again = flow.Tries > 0;
   bool copy = flow.tried(to);
-  count(flow, to);
+  count(now, flow, to);
   if (!copy) {
     flow.Tried[flow.Tries++] = to;
     const ServiceId &service = Servers.at(to).Is.What->Server.Service;
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -100,7 +100,7 @@
   if (!of)
     return false;
   of->smooth(now);
-  return slotsTaken({of->BriefLoad, of->FlowTime, Timeout.usual()});
+  return slotsTaken({of->BriefLoad, of->RequestTime, Timeout.usual()});
 }
 
 bool PacketRouter::knownAlready(const PacketHead &head) {
@@ -205,8 +205,6 @@
   flow->Stage = FlowStage::Open;
   flow->Home = home;
   flow->OpenedAt = now;
-  if (!head.Ends && !head.Resets && flow != &spare)
-    count(*flow, home);
   out.tell(
       eventOf(PacketEventKind::Adopted, PacketReason::None, head.Flow, home));
   return flow;
@@ -223,26 +221,33 @@
   flow->LastSeen = now;
   if (flow->Stage == FlowStage::Opening && !head.Resets)
     confirm(now, *flow, head, out);
+  if (flow->Stage == FlowStage::Open && flow != &spare)
+    followRequests(now, *flow, head);
   bool ends = head.Ends || head.Resets;
   if (ends && flow->Stage != FlowStage::Ending) {
     release(*flow);
-    // Of an adopted flow it is not known when it was opened.
-    bool openedHere = flow->Tries > 0;
-    if (flow->Stage == FlowStage::Open && head.Ends && openedHere)
-      Servers.serviceOf(flow->Home).flowEnded(now - flow->OpenedAt);
     flow->Stage = FlowStage::Ending;
     PacketEvent event = eventOf(head.Resets ? PacketEventKind::Abandoned
                                             : PacketEventKind::Ended,
                                 PacketReason::None, head.Flow, flow->Home);
     event.Took = now - flow->OpenedAt;
     out.tell(event);
-  } else if (head.DataBytes > 0 && flow->Stage == FlowStage::Open &&
-             flow != &spare) {
-    count(*flow, flow->Home);
   }
   forward(flow->Home, bytes, n, out);
 }
 
+void PacketRouter::followRequests(TimePoint now, RememberedFlow &flow,
+                                  const PacketHead &head) {
+  CallerStep step = flow.Progress.packet(now, head);
+  if (step.Answered) {
+    if (flow.Counted)
+      Servers.serviceOf(flow.Home).requestAnswered(now - flow.CountedAt);
+    release(flow);
+  }
+  if (step.Data != CallerData::None)
+    count(now, flow, flow.Home);
+}
+
 void PacketRouter::confirm(TimePoint now, RememberedFlow &flow,
                            const PacketHead &head, PacketSink &out) {
   // The flow opens at the server that the caller answers, and its token is on
@@ -250,7 +255,7 @@
   // the home is remembered from here on.
   ServerIndex home = NoServerIndex;
   if (resolve(head, home) == PacketReason::None)
-    count(flow, home);
+    count(now, flow, home);
   flow.Stage = FlowStage::Open;
   if (flow.Tries == 1 && flow.Copy == 0)
     Timeout.measured(now - flow.LastSent);
@@ -411,9 +416,11 @@
   out.tell(eventOf(PacketEventKind::Refused, why, head.Flow, NoServerIndex));
 }
 
-void PacketRouter::count(RememberedFlow &flow, ServerIndex at) {
+void PacketRouter::count(TimePoint now, RememberedFlow &flow, ServerIndex at) {
   if (flow.Counted && flow.Home == at)
     return;
+  if (!flow.Counted)
+    flow.CountedAt = now;
   release(flow);
   flow.Home = at;
   flow.Counted = true;
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -163,7 +163,9 @@
   void forward(ServerIndex to, const uint8_t *bytes, size_t n,
                PacketSink &out) const;
   void refuse(const PacketHead &head, PacketReason why, PacketSink &out);
-  void count(RememberedFlow &flow, ServerIndex at);
+  void followRequests(TimePoint now, RememberedFlow &flow,
+                      const PacketHead &head);
+  void count(TimePoint now, RememberedFlow &flow, ServerIndex at);
   void release(RememberedFlow &flow);
   void answeredBy(TimePoint now, ServerIndex server, PacketSink &out);
   void reshare();
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -18,10 +18,10 @@
 /// Servers hold some eight requests more than they have slots, so that others
 /// are hardly fuller than this; a small share makes the own ratio jump.
 constexpr double MostLoad = 3;
-/// A flow's time moves the mean by this part.
-constexpr int FlowTimeWeight = 32;
+/// A request's time moves the mean by this part.
+constexpr int RequestTimeWeight = 32;
 /// The longest work is some six times the mean, and waits in a full queue.
-constexpr int QuietFlowTimes = 8;
+constexpr int QuietRequestTimes = 8;
 /// A request that was lost is sent again after 200 ms.
 constexpr Duration ShortestQuiet{300'000};
 constexpr Duration LongestQuiet{2'000'000};
@@ -29,16 +29,17 @@
 } // namespace
 
 Duration TabledService::quietLimit() const {
-  if (FlowTime == Duration{0})
+  if (RequestTime == Duration{0})
     return LongestQuiet;
-  return std::clamp(FlowTime * QuietFlowTimes, ShortestQuiet, LongestQuiet);
+  return std::clamp(RequestTime * QuietRequestTimes, ShortestQuiet,
+                    LongestQuiet);
 }
 
-void TabledService::flowEnded(Duration took) {
-  if (FlowTime == Duration{0})
-    FlowTime = took;
+void TabledService::requestAnswered(Duration took) {
+  if (RequestTime == Duration{0})
+    RequestTime = took;
   else
-    FlowTime += (took - FlowTime) / FlowTimeWeight;
+    RequestTime += (took - RequestTime) / RequestTimeWeight;
 }
 
 void TabledService::smooth(TimePoint now) {
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -16,7 +16,7 @@
 struct TabledServer {
   bool Used = false;       ///< False for a free place of the table.
   RoutedBackend Is;        ///< As published.
-  uint32_t InProgress = 0; ///< Flows of this daemon that it works on.
+  uint32_t InProgress = 0; ///< Requests of this daemon that it works on.
   double Share = 0;        ///< Of its slots, this daemon's.
   ColdAllowance Cold;      ///< New flows while it is cold.
 };
@@ -25,20 +25,21 @@
 struct TabledService {
   std::vector<ServerIndex> TakeNew; ///< Servers for new flows, ordered by
                                     ///< failure domain and id.
-  uint32_t InProgress = 0; ///< Flows of this daemon, over all its servers.
+  uint32_t InProgress = 0; ///< Requests of this daemon, over all its servers.
   double Share = 0;        ///< Slots of this daemon, over all its servers.
   double Load = 0;         ///< InProgress by Share, smoothed.
   double BriefLoad = 0;    ///< As Load, smoothed over a request's time only.
   TimePoint LoadAt;        ///< When Load was last moved.
-  Duration FlowTime{0};    ///< Of a flow, smoothed; zero: none has ended yet.
+  Duration RequestTime{0}; ///< From where a request is counted to its answer,
+                           ///< smoothed; zero: none was answered yet.
 
-  /// Flows of the service without a packet for so long are not in progress any
-  /// more: eight times the usual time of a flow, within bounds. Callers whose
-  /// time is over go silently, and would else be counted as load; after a loss
-  /// of all daemons they are the most.
+  /// Requests on flows without a packet for so long are not in progress any
+  /// more: eight times the usual time of a request, within bounds. Callers
+  /// whose time is over go silently, and would else be counted as load; after a
+  /// loss of all daemons they are the most.
   Duration quietLimit() const;
-  /// A flow has ended after \p took.
-  void flowEnded(Duration took);
+  /// A request was answered \p took after it was counted.
+  void requestAnswered(Duration took);
 
   /// Moves Load towards the present counts. Load of others is reckoned to be
   /// the same: the fabric spreads flows evenly.
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -157,6 +157,27 @@
     Router.packet(Now, head, Bytes, sizeof Bytes, Out);
     Router.tick(Now, Out);
   }
+  /// The caller sends request \p n (zero is the first) on its open flow, or
+  /// sends it again.
+  void asks(uint16_t callerPort, uint32_t token, uint32_t n) {
+    onFlow(callerPort, token, n * RequestBytes, RequestBytes, n * AnswerBytes);
+  }
+  /// The caller confirms the answer to request \p n.
+  void hears(uint16_t callerPort, uint32_t token, uint32_t n) {
+    onFlow(callerPort, token, (n + 1) * RequestBytes, 0, (n + 1) * AnswerBytes);
+  }
+  /// All attempts to connect that are due end, \p connects telling how.
+  template <class Connects> void attempt(const Connects &connects) {
+    for (const ConnectionAttempt &it : Router.dueAttempts(Now)) {
+      AttemptEnd how =
+          connects(it.Server) ? AttemptEnd::Connected : AttemptEnd::Failed;
+      Router.attemptEnded(Now, it.Server, how, Out);
+    }
+  }
+  /// The tag of the server at \p index.
+  uint64_t tagAt(ServerIndex index) const {
+    return Router.servers().at(index).Is.What->Tag;
+  }
   /// Time passes, with a look around each five milliseconds.
   void pass(Duration span) {
     for (TimePoint until = Now + span; Now < until;) {
@@ -181,6 +202,21 @@
   RecordingSink Out;
 
 private:
+  static constexpr uint16_t RequestBytes = 100;
+  static constexpr uint32_t AnswerBytes = 1000;
+
+  void onFlow(uint16_t callerPort, uint32_t token, uint32_t sequence,
+              uint16_t data, uint32_t acknowledged) {
+    PacketHead head;
+    head.Flow = key(callerPort);
+    head.Acknowledges = true;
+    head.Token = token;
+    head.Sequence = sequence;
+    head.DataBytes = data;
+    head.Acknowledged = acknowledged;
+    Router.packet(Now, head, Bytes, sizeof Bytes, Out);
+    Router.tick(Now, Out);
+  }
   void publishOperators() {
     Book.setOperators(Now, Operators);
     Router.setRoutes(Book.snapshot(Now));
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -55,15 +55,16 @@
 }
 
 // Story: after a restart a daemon takes over flows that are nearly at their end
-// and takes the rest of their time for the usual time of a flow. It then thinks
-// that slots are free which are taken.
-TEST(PacketRouterTest, AnAdoptedFlowTellsNoFlowTime) {
+// and takes the rest of their time for the usual time of a request. It then
+// thinks that slots are free which are taken.
+TEST(PacketRouterTest, AnAdoptedFlowTellsNoRequestTime) {
   PacketBench bench;
   bench.usual();
   bench.speaks(1, tokenOf(ServerId("b1")));
   bench.speaks(1, tokenOf(ServerId("b1")), 0, true);
-  EXPECT_EQ(bench.Router.servers().services().at(ServiceId("booking")).FlowTime,
-            Duration(0));
+  EXPECT_EQ(
+      bench.Router.servers().services().at(ServiceId("booking")).RequestTime,
+      Duration(0));
 }
 
 // Story: two servers answer an opening, since the first one's answer was slow.
