Take a server for dead once a later one has its address

After two seconds the platform gives their addresses to servers of other services, which take attempts to connect; doubt of the dead one ended as unfounded, and the new one passes its packets over in silence. Change: RouteBook compares addresses; a server whose address a published server with a later start has is 'replaced': no new flows, no attempts to connect, and requests on its open flows are given up at once, also those that may run once, since nothing can come of them. EachReplaced fails without it (both kinds).

--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -22,6 +22,8 @@
 const char *modeName(const RoutedBackend &server) {
   if (server.Presence == ServerPresence::Gone)
     return "gone";
+  if (server.Presence == ServerPresence::Replaced)
+    return "replaced";
   if (server.DomainOut)
     return "domain-out";
   if (server.Presence == ServerPresence::Lapsed)
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -29,7 +29,8 @@
   ServiceId Service;       ///< For which service.
   DomainId Domain;         ///< Where it stands.
   Address At;              ///< Where it listens.
-  const char *Mode = "";   ///< active, draining, lapsed, gone or domain-out.
+  const char *Mode = "";   ///< active, draining, lapsed, gone, replaced or
+                           ///< domain-out.
   uint32_t InProgress = 0; ///< Own flows that it works on.
   double Share = 0;        ///< Of its slots, this daemon's.
   bool Silent = false;     ///< It, or its domain, leaves openings unanswered.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -254,7 +254,11 @@
   // Only a packet that brings data is lost with its server; a request that has
   // arrived there is answered directly. And only where callers may repeat what
   // may have run: else a cut that heals in time still serves them.
-  if (head.DataBytes == 0 || !Silence.unreachable(flow.Home))
+  if (head.DataBytes == 0)
+    return false;
+  if (Servers.at(flow.Home).Is.Presence == ServerPresence::Replaced)
+    return true;
+  if (!Silence.unreachable(flow.Home))
     return false;
   auto route = Routes->Routes.find(head.Flow.Service);
   return route != Routes->Routes.end() && route->second.Idempotent;
@@ -358,7 +362,10 @@
   std::vector<ConnectionAttempt> attempts;
   for (size_t server : Silence.due(now)) {
     auto index = static_cast<ServerIndex>(server);
-    attempts.push_back({index, Servers.at(index).Is.At, patience});
+    const RoutedBackend &is = Servers.at(index).Is;
+    // Who answers there is another server.
+    if (is.Presence != ServerPresence::Replaced)
+      attempts.push_back({index, is.At, patience});
   }
   return attempts;
 }
--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -132,6 +132,17 @@
   return ServerPresence::Lapsed;
 }
 
+std::map<Endpoint, uint64_t> RouteBook::newestByAddress() const {
+  std::map<Endpoint, uint64_t> newest;
+  for (const auto &[key, known] : Servers) {
+    if (!known.Present)
+      continue;
+    uint64_t &born = newest[Endpoint::of(known.What->Server.At)];
+    born = std::max(born, known.What->Born);
+  }
+  return newest;
+}
+
 void RouteBook::forget(TimePoint now) {
   for (auto it = Servers.begin(); it != Servers.end();)
     it = !it->second.Present && now >= it->second.GoneAt + GoneKeep
@@ -165,12 +176,19 @@
   for (const auto &[end, dropped] : DroppedRoutes)
     made->Routes[end] = {{}, dropped.EverAllowed, {}, {}, false};
   made->Servers.reserve(Servers.size());
+  const std::map<Endpoint, uint64_t> newest = newestByAddress();
   for (const auto &[key, known] : Servers) {
     const BackendServer &server = known.What->Server;
     RoutedBackend to{known.What,         Endpoint::of(server.At),
                      tokenOf(server.Id), presenceOf(now, known),
                      known.WithMany,     domainOut(server.Domain),
                      known.ColdUntil};
+    // Guards against a dead server whose entry still stands, or whose open
+    // flows still find it, while another server answers attempts to connect to
+    // its address: it would look well, and callers would wait for it in vain.
+    auto later = newest.find(to.At);
+    if (later != newest.end() && later->second > known.What->Born)
+      to.Presence = ServerPresence::Replaced;
     made->Servers.push_back(std::move(to));
   }
   return made;
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -15,10 +15,11 @@
 
 /// How a server stands in what is published.
 enum class ServerPresence {
-  Listed, ///< Published.
-  Lapsed, ///< Was ready and has just disappeared: it may only have failed to
-          ///< renew its entry.
-  Gone,   ///< Not published any more; its open flows still find it.
+  Listed,   ///< Published.
+  Lapsed,   ///< Was ready and has just disappeared: it may only have failed to
+            ///< renew its entry.
+  Gone,     ///< Not published any more; its open flows still find it.
+  Replaced, ///< A later server has its address: it is dead for sure.
 };
 
 /// A backend server as the router needs it.
@@ -33,8 +34,9 @@
 
   /// True when it may get new flows in ordinary times. Thread-safe.
   bool takesNew() const {
-    return Presence != ServerPresence::Gone && !DomainOut &&
-           What->Server.Mode == ServerMode::Active;
+    bool there = Presence == ServerPresence::Listed ||
+                 Presence == ServerPresence::Lapsed;
+    return there && !DomainOut && What->Server.Mode == ServerMode::Active;
   }
 };
 
@@ -109,6 +111,7 @@
   void markMassLapses();
   void forget(TimePoint now);
   ServerPresence presenceOf(TimePoint now, const Known &known);
+  std::map<Endpoint, uint64_t> newestByAddress() const;
   bool domainOut(const DomainId &domain) const;
 
   std::shared_ptr<const OperatorConfiguration> Configuration; ///< Newest.
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -101,6 +101,36 @@
   EXPECT_EQ(bench.Out.Resets.size(), 2U) << "known by now";
 }
 
+/// Whether a flow's requests may run more than once.
+class EachReplaced : public testing::TestWithParam<bool> {};
+
+// Story: a server dies in silence, and two seconds later its address belongs to
+// a new server of another service, though its own entry still stands. The new
+// one takes connections, so the dead one looks well; it passes packets for the
+// dead one over, and callers with an open flow there wait until their time is
+// over. Nothing can come of these, whatever the requests are.
+TEST_P(EachReplaced, ServersRequestsAreGivenUp) {
+  PacketBench bench;
+  bench.Idempotent = GetParam();
+  bench.configure(1, {{443, "booking"}, {444, "plans"}});
+  bench.servers({{"b1", "bern-a", "booking", ServerMode::Active, {}, 100},
+                 {"b2", "bern-a", "booking", ServerMode::Active, {}, 100}});
+  uint32_t token = longFlow(bench, 1);
+  uint64_t dead = bench.lastTag();
+  std::string address = "10.0.0." + std::to_string(dead);
+  bench.servers(
+      {{"b9", "bern-a", "plans", ServerMode::Active, {}, 200, address}});
+  bench.asks(1, token, 1);
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+  for (uint16_t port = 2; port <= 6; ++port) {
+    bench.opens(port);
+    EXPECT_NE(bench.lastTag(), dead) << "gets no new flows either";
+  }
+  EXPECT_TRUE(bench.Router.dueAttempts(bench.Now).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests, EachReplaced, testing::Bool());
+
 /// What speaks against giving a request up.
 struct NotGivenUp {
   const char *Name;
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -48,6 +48,8 @@
     std::string Service = "booking";
     ServerMode Mode = ServerMode::Active;
     Duration ColdLeft{0};
+    uint64_t Born = 0;   ///< Orders servers that have the same address.
+    std::string At = ""; ///< Empty: one of its own.
   };
 
   explicit PacketBench(uint64_t seed = 1)
@@ -97,7 +99,9 @@
       s->Server.Service = ServiceId(line.Service);
       s->Server.Domain = DomainId(line.Domain);
       s->Tag = std::stoull(line.Id.substr(1));
-      s->Server.At = {"10.0.0." + line.Id.substr(1), 8080};
+      s->Server.At = {line.At.empty() ? "10.0.0." + line.Id.substr(1) : line.At,
+                      8080};
+      s->Born = line.Born;
       s->Server.Mode = line.Mode;
       s->ColdLeft = line.ColdLeft;
       changed.push_back({PublishedSection::Servers,
