Be not ready while no server can be reached, and judge doubt by domains

The refusals are true and at once, but daemons of other domains could have served them, and the fabric hands callers of a domain without ready daemons to those. Change: a daemon that can reach no server that takes new flows, of whatever service, is not ready; attempts to connect go on, so that it is ready within 0.8 s of the end of the cut. So a silent domain now speaks for its servers, and for requests that came again; with the first doubted server four others are asked instead of all (no burst where a domain has a thousand); an attempt for which there was no room waits 100 ms instead of being asked for again at once. What is left there: daemons that are restarted during the cut are ready until they have found out, and draw the domain's callers back. IsNotReadyWhileNoServerCanBeReached, ASilentDomainSpeaksForItsServers and AnAttemptThatCouldNotBeMadeComesLater fail without their part of it.

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -110,7 +110,13 @@
   return absl::OkStatus();
 }
 
-bool PacketDaemon::ready() const { return HasRoutes && !Leaving; }
+bool PacketDaemon::ready() const {
+  // Guards against a failure domain that operators have taken out and that is
+  // then cut off: its daemons can reach no server, and would refuse their
+  // callers for as long as the cut lasts. Not ready, they leave them to daemons
+  // of other domains, which the fabric can still reach.
+  return HasRoutes && !Leaving && !Lane->outOfReach();
+}
 
 Answer PacketDaemon::answerReady(const Message &message) const {
   if (message.Target.substr(0, message.Target.find('?')) != Settings.ReadyPath)
--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -175,6 +175,15 @@
   }
 }
 
+void PacketLane::noteReach() {
+  bool out = Router.silentServers() > 0 && Router.outOfReach();
+  if (OutOfReach.exchange(out) == out)
+    return;
+  Watch.log(LogLine(Part::Entry, out ? Severity::Warning : Severity::Info,
+                    out ? "servers-out-of-reach" : "servers-in-reach")
+                .number("silent", Router.silentServers()));
+}
+
 void PacketLane::publishFigures(TimePoint now) {
   if (now < NextFigures)
     return;
@@ -196,6 +205,7 @@
       takePackets(now);
       Router.tick(now, *this);
       due = Router.dueAttempts(now);
+      noteReach();
       publishFigures(now);
     }
     Socket->flush();
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -73,6 +73,8 @@
   LaneStatus status();
   /// All servers that are remembered.
   std::vector<LaneServer> servers();
+  /// See PacketRouter; as of the last look around.
+  bool outOfReach() const { return OutOfReach.load(); }
   /// Packets taken in so far.
   uint64_t received() const { return Received.load(); }
   /// Ends the thread. Idempotent.
@@ -88,6 +90,7 @@
   void wait();
   void takePackets(TimePoint now);
   void noteTime(TimePoint now);
+  void noteReach();
   void publishFigures(TimePoint now);
 
   const PacketCodec &Codec;
@@ -106,6 +109,7 @@
   TimePoint StaleUntil; ///< Zero: not stale.
 
   std::atomic<uint64_t> Received{0};
+  std::atomic<bool> OutOfReach{false};
   std::atomic<bool> Stopping{false};
   std::thread Loop; ///< Last, so that all above is there when it starts.
 };
--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -69,15 +69,24 @@
       asked(it->second))
     return;
   it->second.DoubtedSince = sentAt;
+  it->second.WithDomain = false;
   it->second.Failed = 0;
   it->second.NextAttempt = now;
 }
 
 void SilenceDetector::doubtDomain(TimePoint now, const DomainId &domain,
                                   TimePoint since) {
-  for (auto &[other, record] : Servers)
-    if (record.Domain == domain)
-      doubted(now, other, since);
+  uint32_t left = Settings.DoubtedTogether;
+  for (auto &[other, record] : Servers) {
+    if (record.Domain != domain || asked(record))
+      continue;
+    doubted(now, other, since);
+    if (!asked(record))
+      continue;
+    record.WithDomain = true;
+    if (--left == 0)
+      return;
+  }
 }
 
 void SilenceDetector::arrived(size_t server, TimePoint sentAt) {
@@ -158,9 +167,10 @@
 bool SilenceDetector::settleDoubt(TimePoint now, Record &record, bool sure) {
   record.Failed += sure ? 1 : 0;
   // Domains fail and are cut off as a whole: its others are asked meanwhile.
-  if (record.Failed == 1)
+  if (record.Failed == 1 && !record.WithDomain)
     doubtDomain(now, record.Domain, record.DoubtedSince);
-  record.NextAttempt = now;
+  // One that could not be made waits for those that are under way.
+  record.NextAttempt = sure ? now : now + Settings.FirstHold;
   return record.Failed >= Settings.FailedAttempts;
 }
 
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -24,9 +24,12 @@
                                  ///< server that is back is found in a second.
   Duration RelapseSpan{2'000'000}; ///< Silent again so soon after it was found
                                    ///< well: its hold goes on doubling.
-  uint32_t FailedAttempts = 2; ///< Connection attempts in a row that a doubted
-                               ///< server must leave unanswered to be silent:
-                               ///< one packet alone may be lost.
+  uint32_t FailedAttempts = 2;  ///< Connection attempts in a row that a doubted
+                                ///< server must leave unanswered to be silent:
+                                ///< one packet alone may be lost.
+  uint32_t DoubtedTogether = 4; ///< Others of a domain that are asked with the
+                                ///< first; enough to judge it, and no burst
+                                ///< where a domain has a thousand.
 };
 
 /// Which servers leave openings unanswered, by what this daemon itself sees.
@@ -102,6 +105,7 @@
     bool AttemptFailed = false; ///< And took no connection since.
     TimePoint DoubtedSince;     ///< First that did not arrive; zero: none.
     uint32_t Failed = 0;        ///< Attempts in a row while it is doubted.
+    bool WithDomain = false;    ///< Doubted only for another one of its domain.
     TimePoint NextAttempt;      ///< When to ask it, while asked().
     Duration Hold{0};           ///< Between attempts.
   };
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -86,6 +86,22 @@
                            });
 }
 
+bool PacketRouter::lost(ServerIndex server) const {
+  return Silence.unreachable(server) ||
+         Silence.domainSilent(Servers.at(server).Is.What->Server.Domain);
+}
+
+bool PacketRouter::outOfReach() const {
+  bool any = false;
+  for (const auto &[id, service] : Servers.services())
+    for (ServerIndex index : service.TakeNew) {
+      if (!lost(index))
+        return false;
+      any = true;
+    }
+  return any;
+}
+
 bool PacketRouter::sendElsewhere(TimePoint now, RememberedFlow &flow,
                                  const PacketHead &head, const uint8_t *bytes,
                                  size_t n, PacketSink &out) {
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -258,7 +258,11 @@
     return false;
   if (Servers.at(flow.Home).Is.Presence == ServerPresence::Replaced)
     return true;
-  if (!Silence.unreachable(flow.Home))
+  // A whole domain that is silent speaks for its servers before each of them
+  // was asked, where a request has come again too.
+  bool sure = Silence.unreachable(flow.Home) ||
+              (flow.Progress.repeated() && lost(flow.Home));
+  if (!sure)
     return false;
   auto route = Routes->Routes.find(head.Flow.Service);
   return route != Routes->Routes.end() && route->second.Idempotent;
@@ -274,11 +278,11 @@
   out.tell(event);
 }
 
-void PacketRouter::giveUpStuck(ServerIndex server, PacketSink &out) {
+void PacketRouter::giveUpStuck(PacketSink &out) {
   for (const StuckRequest &it : Stuck) {
     RememberedFlow *flow = Flows.find(it.Head.Flow);
-    if (flow && flow->Home == server && flow->Stage == FlowStage::Open &&
-        flow->Progress.asking() && lostForGood(*flow, it.Head))
+    if (flow && flow->Stage == FlowStage::Open && flow->Progress.asking() &&
+        lostForGood(*flow, it.Head))
       giveUp(*flow, it.Head, out);
   }
 }
@@ -344,8 +348,8 @@
   bool sure = how == AttemptEnd::Failed;
   if (Silence.attemptFailed(now, server, sure))
     noteSilent(server, {}, out);
-  if (Silence.unreachable(server))
-    giveUpStuck(server, out);
+  if (Silence.silent(server))
+    giveUpStuck(out);
 }
 
 void PacketRouter::noteSilent(ServerIndex server, const FlowKey &flow,
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -102,6 +102,9 @@
   size_t daemons() const { return Daemons; }
   /// True when the server at \p index, or its whole domain, is silent.
   bool silent(ServerIndex index) const { return Silence.silent(index); }
+  /// True when servers take new flows, and none of them, of whatever service,
+  /// can be reached from here: others may serve what this daemon can't.
+  bool outOfReach() const;
   /// Number of remembered flows.
   size_t flows() const { return Flows.size(); }
   /// The servers with their counts.
@@ -143,9 +146,10 @@
                    const uint8_t *bytes, size_t n, PacketSink &out);
   void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                size_t n, PacketSink &out);
+  bool lost(ServerIndex server) const;
   bool lostForGood(const RememberedFlow &flow, const PacketHead &head) const;
   void giveUp(RememberedFlow &flow, const PacketHead &head, PacketSink &out);
-  void giveUpStuck(ServerIndex server, PacketSink &out);
+  void giveUpStuck(PacketSink &out);
   RememberedFlow *adopt(TimePoint now, const PacketHead &head,
                         RememberedFlow &spare, PacketSink &out);
   void confirm(TimePoint now, RememberedFlow &flow, const PacketHead &head,
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -1,6 +1,9 @@
 #include "Balsamrack/Daemon/PacketDaemon.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -9,6 +12,7 @@
 
 #include <gtest/gtest.h>
 
+#include "Balsamrack/Core/ListenSocket.h"
 #include "UnitTests/Http/ReservedPort.h"
 #include "platform/EchoPackets.h"
 
@@ -36,11 +40,12 @@
 
   std::chrono::milliseconds Wait{1};
   PublishedSection Slower = PublishedSection::Servers; ///< Waits four times.
+  Address ServerAt; ///< Of a server that listings hold; port zero: none.
 
 private:
   static constexpr size_t MostThreads = 40;
 
-  static PublishedChanges answerTo(const PublishedRead &read) {
+  PublishedChanges answerTo(const PublishedRead &read) const {
     PublishedChanges changes{read.Section, read.After, {9}, {}};
     if (read.Section == PublishedSection::Operators) {
       auto c = std::make_shared<OperatorConfiguration>();
@@ -51,6 +56,14 @@
            "config",
            {3},
            std::shared_ptr<const OperatorConfiguration>(c)});
+    } else if (ServerAt.Port != 0) {
+      auto s = std::make_shared<PublishedServer>();
+      s->Server.Id = ServerId("b1");
+      s->Server.Service = ServiceId("booking");
+      s->Server.Domain = DomainId("bern-a");
+      s->Server.At = ServerAt;
+      changes.Objects.push_back(
+          {read.Section, "b1", {4}, std::shared_ptr<const PublishedServer>(s)});
     }
     return changes;
   }
@@ -80,6 +93,23 @@
   absl::StatusOr<std::unique_ptr<PacketDaemon>> start(LateSource &source) {
     return PacketDaemon::create(Settings, {Codec, source, Time, *Log});
   }
+  /// Sends the opening of a flow to the daemon.
+  void sendOpening(uint8_t caller) {
+    // The example of the platform's page, from another address.
+    const uint8_t packet[] = {0xd5, 0xc3, 0xb2, 0xa1, 0,    0,    1,      0,
+                              0x12, 0xc6, 0x41, 0x9c, 0xbb, 0x01, caller, 0,
+                              0x40, 0x64, 0,    0,    0,    0,    2,      0x44,
+                              0x33, 0x22, 0x11, 0,    0,    0,    0};
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(Settings.Packets.Port);
+    to.sin_addr.s_addr = inet_addr(Settings.Packets.Ip.c_str());
+    EXPECT_EQ(sendto(fd, packet, sizeof packet, 0,
+                     reinterpret_cast<sockaddr *>(&to), sizeof to),
+              static_cast<ssize_t>(sizeof packet));
+    close(fd);
+  }
   static bool until(const std::function<bool()> &condition) {
     for (int i = 0; i < 2000 && !condition(); ++i)
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -121,6 +151,26 @@
                            return std::string(sectionName(info.param));
                          });
 
+// Story: operators take a failure domain out, and then it is cut off from the
+// others. Its own servers get no new flows and those of the others can't be
+// reached; its daemons refuse each caller for as long as the cut lasts, though
+// daemons of other domains could serve them. They must not be ready, and be so
+// again once a server takes a connection.
+TEST_F(PacketDaemonTest, IsNotReadyWhileNoServerCanBeReached) {
+  ReservedPort serverAt;
+  LateSource source;
+  source.ServerAt = serverAt.at();
+  auto daemon = start(source);
+  ASSERT_TRUE(daemon.ok()) << daemon.status();
+  ASSERT_TRUE(until([&] { return (*daemon)->ready(); }));
+  for (uint8_t caller = 1; caller <= 3; ++caller)
+    sendOpening(caller);
+  EXPECT_TRUE(until([&] { return !(*daemon)->ready(); }));
+  auto server = ListenSocket::open(serverAt.at());
+  ASSERT_TRUE(server.ok()) << server.status();
+  EXPECT_TRUE(until([&] { return (*daemon)->ready(); }));
+}
+
 // Story: a VM is stopped while reads of the publishing service are under way.
 // Their answers come when the daemon is gone, and must touch nothing of it.
 TEST_F(PacketDaemonTest, AnswersThatComeAfterItsEndAreHarmless) {
--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -232,6 +232,18 @@
   EXPECT_FALSE(Detector.silent(3));
 }
 
+// Story: a daemon has no room for one more attempt to connect. Asked for it
+// again at once, it did nothing else any more.
+TEST_F(SilenceTest, AnAttemptThatCouldNotBeMadeComesLater) {
+  Detector.doubted(Now, 0, Now);
+  ASSERT_EQ(Detector.due(Now).size(), 1U);
+  for (int i = 0; i < 5; ++i)
+    EXPECT_FALSE(Detector.attemptFailed(Now, 0, false));
+  EXPECT_FALSE(Detector.silent(0));
+  EXPECT_TRUE(Detector.due(Now).empty());
+  EXPECT_EQ(Detector.nextDue(), Now + SilenceSettings().FirstHold);
+}
+
 TEST_F(SilenceTest, WhatArrivedLaterEndsDoubt) {
   Detector.arrived(0, Now);
   Detector.doubted(Now, 0, Now - Duration(1));
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -1,4 +1,5 @@
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -167,6 +168,53 @@
                     NotGivenUp{"MayRunOnce", false, false}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+// Story: a domain with many servers is cut off. Asking each of them takes a
+// while; a request that has come again is given up as soon as the domain as a
+// whole is silent, and its callers need not wait for their own server's turn.
+TEST(LongFlowsTest, ASilentDomainSpeaksForItsServers) {
+  PacketBench bench;
+  bench.configure(1, {{443, "booking"}});
+  std::vector<PacketBench::ServerLine> lines;
+  for (int i = 1; i <= 40; ++i)
+    lines.push_back({"b" + std::to_string(i), "bern-b"});
+  bench.servers(lines);
+  std::vector<uint32_t> tokens{0};
+  for (uint16_t port = 1; port <= 40; ++port)
+    tokens.push_back(longFlow(bench, port));
+  for (uint16_t port = 1; port <= 40; ++port)
+    bench.asks(port, tokens[port], 1);
+  bench.pass(Millisecond * 200);
+  bench.asks(1, tokens[1], 1);
+  size_t asked = 0;
+  for (int i = 0; i < 3; ++i)
+    bench.attempt([&](ServerIndex) { return ++asked > 1000; });
+  EXPECT_LT(asked, 15U) << "no burst of attempts";
+  ASSERT_EQ(bench.Out.Resets.size(), 1U);
+  for (uint16_t port = 2; port <= 40; ++port)
+    bench.asks(port, tokens[port], 1);
+  EXPECT_EQ(bench.Out.Resets.size(), 40U);
+}
+
+// Story: operators take a failure domain out, and then it is cut off: what its
+// daemons can reach takes no new flows, and what takes new flows can't be
+// reached. Each caller was refused for as long as the cut lasted, 5 s.
+TEST(LongFlowsTest, ADaemonKnowsThatItReachesNoServer) {
+  PacketBench bench;
+  bench.usual();
+  bench.domainOut("bern-a");
+  EXPECT_FALSE(bench.Router.outOfReach());
+  for (uint16_t port = 1; port <= 4; ++port) {
+    bench.opens(port);
+    bench.pass(Millisecond * 60);
+    bench.attempt([](ServerIndex) { return false; });
+  }
+  EXPECT_TRUE(bench.Router.outOfReach());
+  bench.pass(Millisecond * 800);
+  bool first = true;
+  bench.attempt([&](ServerIndex) { return std::exchange(first, false); });
+  EXPECT_FALSE(bench.Router.outOfReach());
+}
+
 // Story: a server takes connections, but none of its callers' openings is
 // answered: it is full. Being asked after the first of them must not hide that
 // the second has no answer either.
