--- a/Balsamrack/Peers/WebsocketTransport.h
+++ b/Balsamrack/Peers/WebsocketTransport.h
@@ -33,9 +33,9 @@
                                     ///< hour, and after a cut between failure
                                     ///< domains heals it may wait minutes
                                     ///< before it tries again.
-  Duration MinBackoff{50'000};     ///< After a first failed connect; doubles.
-  Duration MaxBackoff{1'000'000};  ///< The longest one.
-  size_t MaxQueuedMessages = 4096; ///< That wait for one peer.
+  Duration MinBackoff{50'000};      ///< After a first failed connect; doubles.
+  Duration MaxBackoff{1'000'000};   ///< The longest one.
+  size_t MaxQueuedMessages = 4096;  ///< That wait for one peer.
   size_t MaxQueuedBytes = size_t(32) << 20; ///< That wait for one peer.
   std::function<void(const absl::Status &)>
       OnFault; ///< Told of peers and frames that were refused, with step and
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -48,8 +48,8 @@
     std::string Service = "booking";
     ServerMode Mode = ServerMode::Active;
     Duration ColdLeft{0};
-    uint64_t Born = 0;   ///< Orders servers that have the same address.
-    std::string At = ""; ///< Empty: one of its own.
+    uint64_t Born = 0; ///< Orders servers that have the same address.
+    std::string At{};  ///< Empty: one of its own.
   };
 
   explicit PacketBench(uint64_t seed = 1)
