Bound the repeated requests that are kept, and look through them once a change

Now 4,096 repeated requests are kept (older ones hear with their next repetition), they are looked through only when a server has just become lost, and a reachable server ends the question whether any is. No change of what is decided; the 82 tests of packets, openings and silence pass. No figure was measured for it.

--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -176,7 +176,7 @@
 }
 
 void PacketLane::noteReach() {
-  bool out = Router.silentServers() > 0 && Router.outOfReach();
+  bool out = Router.outOfReach();
   if (OutOfReach.exchange(out) == out)
     return;
   Watch.log(LogLine(Part::Entry, out ? Severity::Warning : Severity::Info,
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MostAttempt{200'000};
 /// By then its caller has sent the same data again, with a head of its own.
 constexpr Duration StuckKeep{1'000'000};
+/// Older ones hear of it with their next repetition.
+constexpr size_t MostStuck = 4096;
 
 } // namespace
 
@@ -294,14 +296,15 @@
     if (flow.Counted)
       Servers.serviceOf(flow.Home).requestAnswered(now - flow.CountedAt);
     release(flow);
-  }
-  if (step.Answered)
     Silence.arrived(flow.Home, flow.Progress.askedAt());
+  }
   if (step.Data != CallerData::None)
     count(now, flow, flow.Home);
   if (step.Data != CallerData::Repeated)
     return;
   Silence.doubted(now, flow.Home, flow.Progress.askedAt());
+  if (Stuck.size() >= MostStuck)
+    Stuck.pop_front();
   Stuck.push_back({now, head});
 }
 
@@ -345,10 +348,11 @@
     noteBack(server, was, silent, out);
     return;
   }
+  bool wasLost = lost(server);
   bool sure = how == AttemptEnd::Failed;
   if (Silence.attemptFailed(now, server, sure))
     noteSilent(server, {}, out);
-  if (Silence.silent(server))
+  if (!wasLost && lost(server))
     giveUpStuck(out);
 }
 
