Give requests up only while the daemon's own link is proved to work

Cause, by the log of front-wien-b-16 (a VM of 10 Mbit/s): for some 130 ms after a new configuration nothing that it sent was answered by any server of any domain; openings came too late, attempts of 50 ms failed, and living servers' flows were reset. Ruled out: servers (they answered others), loss of single packets (all domains at once). Change: a failed attempt proves something only when something that was sent no earlier has arrived at some server, or once nothing arrived anywhere for a second; attempts are accompanied by one to another server, so that a working link is known within milliseconds. Resets on open flows and readiness go by such proof (lost, lostWithDomain); where openings go does not change.

--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -11,7 +11,21 @@
   Domains.try_emplace(domain);
 }
 
-void SilenceDetector::remove(size_t server) { Servers.erase(server); }
+void SilenceDetector::remove(size_t server) {
+  auto it = Servers.find(server);
+  if (it == Servers.end())
+    return;
+  setProved(it->second, false);
+  Servers.erase(it);
+}
+
+void SilenceDetector::setProved(Record &record, bool proved) {
+  if (record.Proved == proved)
+    return;
+  record.Proved = proved;
+  DomainRecord &whole = Domains[record.Domain];
+  whole.Lost += proved ? 1 : -1;
+}
 
 bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
                                  uint32_t caller) {
@@ -90,6 +104,7 @@
 }
 
 void SilenceDetector::arrived(size_t server, TimePoint sentAt) {
+  LastProof = std::max(LastProof, sentAt);
   auto it = Servers.find(server);
   if (it == Servers.end())
     return;
@@ -124,6 +139,7 @@
   bool was = record.Silent;
   record.Silent = false;
   record.AttemptFailed = false;
+  setProved(record, false);
   return was;
 }
 
@@ -132,6 +148,7 @@
   if (it == Servers.end())
     return false;
   Record &record = it->second;
+  LastProof = std::max(LastProof, record.AskedAt);
   if (record.Silent || domainSilent(record.Domain))
     return answered(now, server);
   record.LastReached = now;
@@ -146,8 +163,12 @@
     return false;
   Record &record = it->second;
   bool was = record.Silent;
+  TimePoint since = was ? record.SilentSince : record.DoubtedSince;
+  // Else it may be this daemon's own link that is full or cut.
+  bool proved = sure && (LastProof >= record.AskedAt ||
+                         now - since >= Settings.BlindSpan);
   if (!was && record.DoubtedSince != TimePoint{} &&
-      !settleDoubt(now, record, sure))
+      !settleDoubt(now, record, proved))
     return false;
   if (!was) {
     record.Silent = true;
@@ -157,6 +178,7 @@
   }
   record.DoubtedSince = {};
   record.AttemptFailed = record.AttemptFailed || sure;
+  setProved(record, record.Proved || proved);
   record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
   record.NextAttempt = now + record.Hold;
   if (!was)
@@ -185,6 +207,21 @@
   return it != Servers.end() && it->second.Silent && it->second.AttemptFailed;
 }
 
+bool SilenceDetector::lost(size_t server) const {
+  auto it = Servers.find(server);
+  return it != Servers.end() && it->second.Silent && it->second.Proved;
+}
+
+bool SilenceDetector::lostWithDomain(size_t server) const {
+  if (lost(server))
+    return true;
+  auto it = Servers.find(server);
+  if (it == Servers.end())
+    return false;
+  auto whole = Domains.find(it->second.Domain);
+  return whole->second.Silent && whole->second.Lost >= Settings.DomainLimit;
+}
+
 bool SilenceDetector::domainSilent(const DomainId &domain) const {
   auto it = Domains.find(domain);
   return it != Domains.end() && it->second.Silent;
@@ -196,12 +233,35 @@
     if (!asked(record) || record.NextAttempt > now)
       continue;
     found.push_back(server);
+    record.AskedAt = now;
     // Until the attempt ends, whichever way.
     record.NextAttempt = now + Settings.LongestHold;
   }
   return found;
 }
 
+std::optional<size_t> SilenceDetector::control(TimePoint now, size_t asked) {
+  const Record &first = Servers.at(asked);
+  if (first.Proved)
+    return std::nullopt;
+  // Another domain's, since domains fail as a whole; then the last reached.
+  auto better = [&](const Record &a, const Record &b) {
+    bool aElsewhere = a.Domain != first.Domain;
+    bool bElsewhere = b.Domain != first.Domain;
+    return aElsewhere != bElsewhere ? aElsewhere
+                                    : a.LastReached > b.LastReached;
+  };
+  auto best = Servers.end();
+  for (auto it = Servers.begin(); it != Servers.end(); ++it)
+    if (!this->asked(it->second) &&
+        (best == Servers.end() || better(it->second, best->second)))
+      best = it;
+  if (best == Servers.end())
+    return std::nullopt;
+  best->second.AskedAt = now;
+  return best->first;
+}
+
 TimePoint SilenceDetector::nextDue() const {
   TimePoint next(Duration::max());
   for (const auto &[server, record] : Servers)
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "Balsamrack/Core/Ids.h"
@@ -24,12 +25,16 @@
                                  ///< server that is back is found in a second.
   Duration RelapseSpan{2'000'000}; ///< Silent again so soon after it was found
                                    ///< well: its hold goes on doubling.
-  uint32_t FailedAttempts = 2;  ///< Connection attempts in a row that a doubted
-                                ///< server must leave unanswered to be silent:
-                                ///< one packet alone may be lost.
-  uint32_t DoubtedTogether = 4; ///< Others of a domain that are asked with the
-                                ///< first; enough to judge it, and no burst
-                                ///< where a domain has a thousand.
+  uint32_t FailedAttempts = 2; ///< Connection attempts in a row that a doubted
+                               ///< server must leave unanswered to be silent:
+                               ///< one packet alone may be lost.
+  Duration BlindSpan{1'000'000}; ///< Attempts that fail while nothing that was
+                                 ///< sent since arrived anywhere may fail for
+                                 ///< this daemon's own link; for so long they
+                                 ///< settle nothing.
+  uint32_t DoubtedTogether = 4;  ///< Others of a domain that are asked with the
+                                 ///< first; enough to judge it, and no burst
+                                 ///< where a domain has a thousand.
 };
 
 /// Which servers leave openings unanswered, by what this daemon itself sees.
@@ -44,7 +49,12 @@
 /// caller's opening. So is one that is only doubted: something that was sent to
 /// it shows no sign of having arrived. Doubt alone changes nothing for callers;
 /// it is settled within two attempts, where waiting for further callers'
-/// openings takes as long as there are few of them. Deterministic. Not
+/// openings takes as long as there are few of them.
+///
+/// A failed attempt says something of the server only when something that was
+/// sent no earlier has arrived elsewhere: a small VM's link that is full for a
+/// moment delays everything, and every server would look lost. So attempts are
+/// accompanied by one to another server (control()). Deterministic. Not
 /// thread-safe.
 class SilenceDetector {
 public:
@@ -82,11 +92,21 @@
   /// True while \p server left callers' openings unanswered, or its domain did,
   /// and then a connection attempt of ours too: a packet sent there is lost.
   bool unreachable(size_t server) const;
+  /// True while unreachable(), proved while this daemon's own link worked: what
+  /// is on its way there can be given up.
+  bool lost(size_t server) const;
+  /// True while lost(), or while its domain is silent and several servers of it
+  /// are lost, which speak for the others.
+  bool lostWithDomain(size_t server) const;
   /// True while \p domain is silent as a whole.
   bool domainSilent(const DomainId &domain) const;
   /// Servers that should be asked by a connection attempt now; counts them as
   /// asked.
   std::vector<size_t> due(TimePoint now);
+  /// A server that should be asked beside those that due() has just named, of
+  /// which \p asked is one: its answer proves that this daemon's own link
+  /// works. Nothing when that is no question any more, or all are asked.
+  std::optional<size_t> control(TimePoint now, size_t asked);
   /// When due() has something next; the far future for never.
   TimePoint nextDue() const;
   /// Silent servers, by their own silence.
@@ -103,26 +123,33 @@
     TimePoint SilentSince;      ///< Meaningful while Silent.
     bool Silent = false;        ///< Gets no new flows.
     bool AttemptFailed = false; ///< And took no connection since.
+    bool Proved = false;        ///< And our own link worked meanwhile.
     TimePoint DoubtedSince;     ///< First that did not arrive; zero: none.
     uint32_t Failed = 0;        ///< Attempts in a row while it is doubted.
     bool WithDomain = false;    ///< Doubted only for another one of its domain.
+    TimePoint AskedAt;          ///< When due() named it last.
     TimePoint NextAttempt;      ///< When to ask it, while asked().
     Duration Hold{0};           ///< Between attempts.
   };
   /// What is known of one domain.
   struct DomainRecord {
     bool Silent = false;  ///< As a whole.
+    uint32_t Lost = 0;    ///< Servers of it that are Proved.
     TimePoint LastAnswer; ///< Of any of its servers.
   };
 
   void judgeDomain(TimePoint now, const DomainId &domain);
   void doubtDomain(TimePoint now, const DomainId &domain, TimePoint since);
   bool settleDoubt(TimePoint now, Record &record, bool sure);
+  void setProved(Record &record, bool proved);
+
   bool asked(const Record &record) const;
 
   SilenceSettings Settings;                 ///< Limits.
   std::map<size_t, Record> Servers;         ///< All followed.
   std::map<DomainId, DomainRecord> Domains; ///< Of them.
+  TimePoint LastProof; ///< Latest time at which something was sent from here
+                       ///< that has arrived at a server.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -86,16 +86,11 @@
                            });
 }
 
-bool PacketRouter::lost(ServerIndex server) const {
-  return Silence.unreachable(server) ||
-         Silence.domainSilent(Servers.at(server).Is.What->Server.Domain);
-}
-
 bool PacketRouter::outOfReach() const {
   bool any = false;
   for (const auto &[id, service] : Servers.services())
     for (ServerIndex index : service.TakeNew) {
-      if (!lost(index))
+      if (!Silence.lostWithDomain(index))
         return false;
       any = true;
     }
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -262,8 +262,8 @@
     return true;
   // A whole domain that is silent speaks for its servers before each of them
   // was asked, where a request has come again too.
-  bool sure = Silence.unreachable(flow.Home) ||
-              (flow.Progress.repeated() && lost(flow.Home));
+  bool sure = Silence.lost(flow.Home) ||
+              (flow.Progress.repeated() && Silence.lostWithDomain(flow.Home));
   if (!sure)
     return false;
   auto route = Routes->Routes.find(head.Flow.Service);
@@ -324,6 +324,7 @@
   event.Took = now - flow.OpenedAt;
   event.Tries = flow.Tries;
   out.tell(event);
+  Silence.arrived(flow.Home, flow.LastSent);
   bool domainWas = Silence.silent(flow.Home);
   bool was = Silence.answered(now, flow.Home);
   noteBack(flow.Home, was, domainWas, out);
@@ -348,11 +349,11 @@
     noteBack(server, was, silent, out);
     return;
   }
-  bool wasLost = lost(server);
+  bool wasLost = Silence.lostWithDomain(server);
   bool sure = how == AttemptEnd::Failed;
   if (Silence.attemptFailed(now, server, sure))
     noteSilent(server, {}, out);
-  if (!wasLost && lost(server))
+  if (!wasLost && Silence.lostWithDomain(server))
     giveUpStuck(out);
 }
 
@@ -367,8 +368,12 @@
   // A handshake with the server alone; openings take one with the caller too.
   Duration patience =
       std::clamp(2 * Timeout.value(), LeastAttempt, MostAttempt);
+  std::vector<size_t> servers = Silence.due(now);
+  if (!servers.empty())
+    if (auto control = Silence.control(now, servers.front()))
+      servers.push_back(*control);
   std::vector<ConnectionAttempt> attempts;
-  for (size_t server : Silence.due(now)) {
+  for (size_t server : servers) {
     auto index = static_cast<ServerIndex>(server);
     const RoutedBackend &is = Servers.at(index).Is;
     // Who answers there is another server.
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -146,7 +146,7 @@
                    const uint8_t *bytes, size_t n, PacketSink &out);
   void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                size_t n, PacketSink &out);
-  bool lost(ServerIndex server) const;
+
   bool lostForGood(const RememberedFlow &flow, const PacketHead &head) const;
   void giveUp(RememberedFlow &flow, const PacketHead &head, PacketSink &out);
   void giveUpStuck(PacketSink &out);
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -177,6 +177,8 @@
   std::vector<PacketBench::ServerLine> lines;
   for (int i = 1; i <= 40; ++i)
     lines.push_back({"b" + std::to_string(i), "bern-b"});
+  // It shows that the daemon's own link works.
+  lines.push_back({"b99", "bern-a", "plans"});
   bench.servers(lines);
   std::vector<uint32_t> tokens{0};
   for (uint16_t port = 1; port <= 40; ++port)
@@ -187,7 +189,10 @@
   bench.asks(1, tokens[1], 1);
   size_t asked = 0;
   for (int i = 0; i < 3; ++i)
-    bench.attempt([&](ServerIndex) { return ++asked > 1000; });
+    bench.attempt([&](ServerIndex it) {
+      ++asked;
+      return bench.tagAt(it) == 99;
+    });
   EXPECT_LT(asked, 15U) << "no burst of attempts";
   ASSERT_EQ(bench.Out.Resets.size(), 1U);
   for (uint16_t port = 2; port <= 40; ++port)
@@ -208,6 +213,11 @@
     bench.pass(Millisecond * 60);
     bench.attempt([](ServerIndex) { return false; });
   }
+  // That nothing arrives may be the fault of the daemon's own link at first.
+  for (int i = 0; i < 30; ++i) {
+    bench.pass(Millisecond * 50);
+    bench.attempt([](ServerIndex) { return false; });
+  }
   EXPECT_TRUE(bench.Router.outOfReach());
   bench.pass(Millisecond * 800);
   bool first = true;
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -173,11 +173,15 @@
   }
   /// All attempts to connect that are due end, \p connects telling how.
   template <class Connects> void attempt(const Connects &connects) {
-    for (const ConnectionAttempt &it : Router.dueAttempts(Now)) {
-      AttemptEnd how =
-          connects(it.Server) ? AttemptEnd::Connected : AttemptEnd::Failed;
-      Router.attemptEnded(Now, it.Server, how, Out);
-    }
+    std::vector<ConnectionAttempt> failed;
+    for (const ConnectionAttempt &it : Router.dueAttempts(Now))
+      if (connects(it.Server))
+        Router.attemptEnded(Now, it.Server, AttemptEnd::Connected, Out);
+      else
+        failed.push_back(it);
+    // Their patience is over long after the others have connected.
+    for (const ConnectionAttempt &it : failed)
+      Router.attemptEnded(Now, it.Server, AttemptEnd::Failed, Out);
   }
   /// The tag of the server at \p index.
   uint64_t tagAt(ServerIndex index) const {
