Let only a server's own attempts lose its open flows

Two servers of its domain were dead, it had had no answer of the domain yet, so the domain was silent as a whole and spoke for its living servers. Ruled out: the VM's link (others answered). Change: open flows are given up only for their own server, after two attempts that failed while this daemon's own link worked. That dead servers, or a second without any answer, speak for a domain holds for readiness only (outOfReach).

--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -24,7 +24,7 @@
     return;
   record.Proved = proved;
   DomainRecord &whole = Domains[record.Domain];
-  whole.Lost += proved ? 1 : -1;
+  whole.Proved += proved ? 1 : -1;
 }
 
 bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
@@ -139,6 +139,7 @@
   bool was = record.Silent;
   record.Silent = false;
   record.AttemptFailed = false;
+  record.Witnessed = 0;
   setProved(record, false);
   return was;
 }
@@ -153,6 +154,7 @@
     return answered(now, server);
   record.LastReached = now;
   record.DoubtedSince = {};
+  record.Witnessed = 0;
   Domains[record.Domain].LastAnswer = now;
   return false;
 }
@@ -165,8 +167,9 @@
   bool was = record.Silent;
   TimePoint since = was ? record.SilentSince : record.DoubtedSince;
   // Else it may be this daemon's own link that is full or cut.
-  bool proved = sure && (LastProof >= record.AskedAt ||
-                         now - since >= Settings.BlindSpan);
+  bool witnessed = sure && LastProof >= record.AskedAt;
+  bool proved = witnessed || (sure && now - since >= Settings.BlindSpan);
+  record.Witnessed += witnessed ? 1 : 0;
   if (!was && record.DoubtedSince != TimePoint{} &&
       !settleDoubt(now, record, proved))
     return false;
@@ -209,17 +212,19 @@
 
 bool SilenceDetector::lost(size_t server) const {
   auto it = Servers.find(server);
-  return it != Servers.end() && it->second.Silent && it->second.Proved;
+  return it != Servers.end() && it->second.Silent &&
+         it->second.Witnessed >= Settings.FailedAttempts;
 }
 
-bool SilenceDetector::lostWithDomain(size_t server) const {
-  if (lost(server))
-    return true;
+bool SilenceDetector::outOfReach(size_t server) const {
   auto it = Servers.find(server);
   if (it == Servers.end())
     return false;
-  auto whole = Domains.find(it->second.Domain);
-  return whole->second.Silent && whole->second.Lost >= Settings.DomainLimit;
+  const Record &record = it->second;
+  if (record.Silent && record.Proved)
+    return true;
+  const DomainRecord &whole = Domains.at(record.Domain);
+  return whole.Silent && whole.Proved >= Settings.DomainLimit;
 }
 
 bool SilenceDetector::domainSilent(const DomainId &domain) const {
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -92,12 +92,13 @@
   /// True while \p server left callers' openings unanswered, or its domain did,
   /// and then a connection attempt of ours too: a packet sent there is lost.
   bool unreachable(size_t server) const;
-  /// True while unreachable(), proved while this daemon's own link worked: what
-  /// is on its way there can be given up.
+  /// True while \p server is silent and left two attempts to connect unanswered
+  /// while this daemon's own link worked: what is on its way there can be given
+  /// up. Dead servers say nothing of a living one of their domain.
   bool lost(size_t server) const;
-  /// True while lost(), or while its domain is silent and several servers of it
-  /// are lost, which speak for the others.
-  bool lostWithDomain(size_t server) const;
+  /// True while \p server, or its silent domain, is out of reach as far as this
+  /// daemon can tell, be it for its own link.
+  bool outOfReach(size_t server) const;
   /// True while \p domain is silent as a whole.
   bool domainSilent(const DomainId &domain) const;
   /// Servers that should be asked by a connection attempt now; counts them as
@@ -123,18 +124,20 @@
     TimePoint SilentSince;      ///< Meaningful while Silent.
     bool Silent = false;        ///< Gets no new flows.
     bool AttemptFailed = false; ///< And took no connection since.
-    bool Proved = false;        ///< And our own link worked meanwhile.
-    TimePoint DoubtedSince;     ///< First that did not arrive; zero: none.
-    uint32_t Failed = 0;        ///< Attempts in a row while it is doubted.
-    bool WithDomain = false;    ///< Doubted only for another one of its domain.
-    TimePoint AskedAt;          ///< When due() named it last.
-    TimePoint NextAttempt;      ///< When to ask it, while asked().
-    Duration Hold{0};           ///< Between attempts.
+    bool Proved = false; ///< And that was no moment's trouble of our own link.
+    uint32_t Witnessed = 0;  ///< Attempts in a row that failed while our own
+                             ///< link worked.
+    TimePoint DoubtedSince;  ///< First that did not arrive; zero: none.
+    uint32_t Failed = 0;     ///< Attempts in a row while it is doubted.
+    bool WithDomain = false; ///< Doubted only for another one of its domain.
+    TimePoint AskedAt;       ///< When due() named it last.
+    TimePoint NextAttempt;   ///< When to ask it, while asked().
+    Duration Hold{0};        ///< Between attempts.
   };
   /// What is known of one domain.
   struct DomainRecord {
     bool Silent = false;  ///< As a whole.
-    uint32_t Lost = 0;    ///< Servers of it that are Proved.
+    uint32_t Proved = 0;  ///< Servers of it that are Proved.
     TimePoint LastAnswer; ///< Of any of its servers.
   };
 
--- a/Balsamrack/Packets/CallerProgress.cpp
+++ b/Balsamrack/Packets/CallerProgress.cpp
@@ -21,7 +21,6 @@
   if (Known && !after(end, DataEnd)) {
     bool repeated = Asking && now - AskedAt >= RepeatAfter;
     step.Data = repeated ? CallerData::Repeated : CallerData::GoesOn;
-    Repeated = Repeated || repeated;
     return step;
   }
   Known = true;
@@ -29,7 +28,6 @@
   step.Data = Asking ? CallerData::GoesOn : CallerData::Begins;
   if (!Asking) {
     Asking = true;
-    Repeated = false;
     HadOfServer = head.Acknowledged;
     AskedAt = now;
   }
--- a/Balsamrack/Packets/CallerProgress.h
+++ b/Balsamrack/Packets/CallerProgress.h
@@ -43,15 +43,14 @@
   CallerStep packet(TimePoint now, const PacketHead &head);
   /// True between a request and its answer.
   bool asking() const { return Asking; }
-  /// True when a packet of the present request came again.
-  bool repeated() const { return Asking && Repeated; }
+
   /// When the present or last request began.
   TimePoint askedAt() const { return AskedAt; }
 
 private:
-  bool Known = false;       ///< Data was seen: the numbers below count.
-  bool Asking = false;      ///< A request has no answer yet.
-  bool Repeated = false;    ///< A packet of it came again.
+  bool Known = false;  ///< Data was seen: the numbers below count.
+  bool Asking = false; ///< A request has no answer yet.
+
   uint32_t DataEnd = 0;     ///< Behind the last byte that the caller sent.
   uint32_t HadOfServer = 0; ///< Acknowledged when it asked.
   TimePoint AskedAt;        ///< See askedAt().
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -90,7 +90,7 @@
   bool any = false;
   for (const auto &[id, service] : Servers.services())
     for (ServerIndex index : service.TakeNew) {
-      if (!Silence.lostWithDomain(index))
+      if (!Silence.outOfReach(index))
         return false;
       any = true;
     }
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -260,11 +260,7 @@
     return false;
   if (Servers.at(flow.Home).Is.Presence == ServerPresence::Replaced)
     return true;
-  // A whole domain that is silent speaks for its servers before each of them
-  // was asked, where a request has come again too.
-  bool sure = Silence.lost(flow.Home) ||
-              (flow.Progress.repeated() && Silence.lostWithDomain(flow.Home));
-  if (!sure)
+  if (!Silence.lost(flow.Home))
     return false;
   auto route = Routes->Routes.find(head.Flow.Service);
   return route != Routes->Routes.end() && route->second.Idempotent;
@@ -349,11 +345,11 @@
     noteBack(server, was, silent, out);
     return;
   }
-  bool wasLost = Silence.lostWithDomain(server);
+  bool wasLost = Silence.lost(server);
   bool sure = how == AttemptEnd::Failed;
   if (Silence.attemptFailed(now, server, sure))
     noteSilent(server, {}, out);
-  if (!wasLost && Silence.lostWithDomain(server))
+  if (!wasLost && Silence.lost(server))
     giveUpStuck(out);
 }
 
