Judge the daemon's own link before open flows are given up

Change: a server is lost only after five attempts in half a second, none of which connected; an accompanying attempt that fails, or one that connects where another had just failed, means that the own link loses packets, and failures say nothing for a second.

--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -19,6 +19,13 @@
   Servers.erase(it);
 }
 
+void SilenceDetector::doubtOwnLink(TimePoint now) {
+  UnsureUntil = now + Settings.BlindSpan;
+  for (auto &[server, record] : Servers)
+    if (record.Witnessed < Settings.LostAttempts)
+      record.Witnessed = 0;
+}
+
 void SilenceDetector::setProved(Record &record, bool proved) {
   if (record.Proved == proved)
     return;
@@ -150,10 +157,13 @@
     return false;
   Record &record = it->second;
   LastProof = std::max(LastProof, record.AskedAt);
+  if (record.Failed > 0 || record.AttemptFailed)
+    doubtOwnLink(now);
   if (record.Silent || domainSilent(record.Domain))
     return answered(now, server);
   record.LastReached = now;
   record.DoubtedSince = {};
+  record.Failed = 0;
   record.Witnessed = 0;
   Domains[record.Domain].LastAnswer = now;
   return false;
@@ -161,13 +171,19 @@
 
 bool SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure) {
   auto it = Servers.find(server);
-  if (it == Servers.end() || !asked(it->second))
+  if (it == Servers.end())
+    return false;
+  if (!asked(it->second)) {
+    // It was to accompany others.
+    if (sure)
+      doubtOwnLink(now);
     return false;
+  }
   Record &record = it->second;
   bool was = record.Silent;
   TimePoint since = was ? record.SilentSince : record.DoubtedSince;
   // Else it may be this daemon's own link that is full or cut.
-  bool witnessed = sure && LastProof >= record.AskedAt;
+  bool witnessed = sure && LastProof >= record.AskedAt && now >= UnsureUntil;
   bool proved = witnessed || (sure && now - since >= Settings.BlindSpan);
   record.Witnessed += witnessed ? 1 : 0;
   if (!was && record.DoubtedSince != TimePoint{} &&
@@ -182,8 +198,11 @@
   record.DoubtedSince = {};
   record.AttemptFailed = record.AttemptFailed || sure;
   setProved(record, record.Proved || proved);
-  record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
-  record.NextAttempt = now + record.Hold;
+  // Until it is known whether its open flows are lost, it is asked quickly.
+  bool unsettled = witnessed && record.Witnessed < Settings.LostAttempts;
+  if (!unsettled)
+    record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
+  record.NextAttempt = now + (unsettled ? Settings.FirstHold : record.Hold);
   if (!was)
     judgeDomain(now, record.Domain);
   return !was;
@@ -213,7 +232,7 @@
 bool SilenceDetector::lost(size_t server) const {
   auto it = Servers.find(server);
   return it != Servers.end() && it->second.Silent &&
-         it->second.Witnessed >= Settings.FailedAttempts;
+         it->second.Witnessed >= Settings.LostAttempts;
 }
 
 bool SilenceDetector::outOfReach(size_t server) const {
@@ -247,7 +266,7 @@
 
 std::optional<size_t> SilenceDetector::control(TimePoint now, size_t asked) {
   const Record &first = Servers.at(asked);
-  if (first.Proved)
+  if (first.Witnessed >= Settings.LostAttempts)
     return std::nullopt;
   // Another domain's, since domains fail as a whole; then the last reached.
   auto better = [&](const Record &a, const Record &b) {
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -28,6 +28,11 @@
   uint32_t FailedAttempts = 2; ///< Connection attempts in a row that a doubted
                                ///< server must leave unanswered to be silent:
                                ///< one packet alone may be lost.
+  uint32_t LostAttempts = 5;   ///< In a row, each while the own link worked,
+                               ///< FirstHold apart: open flows are given up. A
+                               ///< link that is full loses every third packet,
+                               ///< so that five in a row and no attempt beside
+                               ///< them are one in 2,000.
   Duration BlindSpan{1'000'000}; ///< Attempts that fail while nothing that was
                                  ///< sent since arrived anywhere may fail for
                                  ///< this daemon's own link; for so long they
@@ -54,8 +59,9 @@
 /// A failed attempt says something of the server only when something that was
 /// sent no earlier has arrived elsewhere: a small VM's link that is full for a
 /// moment delays everything, and every server would look lost. So attempts are
-/// accompanied by one to another server (control()). Deterministic. Not
-/// thread-safe.
+/// accompanied by one to another server (control()), and one that fails where
+/// another one connects a moment later, or an accompanying one that fails,
+/// shows that failures say nothing for a while. Deterministic. Not thread-safe.
 class SilenceDetector {
 public:
   explicit SilenceDetector(const SilenceSettings &settings)
@@ -92,9 +98,9 @@
   /// True while \p server left callers' openings unanswered, or its domain did,
   /// and then a connection attempt of ours too: a packet sent there is lost.
   bool unreachable(size_t server) const;
-  /// True while \p server is silent and left two attempts to connect unanswered
-  /// while this daemon's own link worked: what is on its way there can be given
-  /// up. Dead servers say nothing of a living one of their domain.
+  /// True while \p server is silent and left LostAttempts attempts to connect
+  /// unanswered while this daemon's own link worked: what is on its way there
+  /// can be given up. Dead servers say nothing of a living one of their domain.
   bool lost(size_t server) const;
   /// True while \p server, or its silent domain, is out of reach as far as this
   /// daemon can tell, be it for its own link.
@@ -145,14 +151,16 @@
   void doubtDomain(TimePoint now, const DomainId &domain, TimePoint since);
   bool settleDoubt(TimePoint now, Record &record, bool sure);
   void setProved(Record &record, bool proved);
+  void doubtOwnLink(TimePoint now);
 
   bool asked(const Record &record) const;
 
   SilenceSettings Settings;                 ///< Limits.
   std::map<size_t, Record> Servers;         ///< All followed.
   std::map<DomainId, DomainRecord> Domains; ///< Of them.
-  TimePoint LastProof; ///< Latest time at which something was sent from here
-                       ///< that has arrived at a server.
+  TimePoint UnsureUntil; ///< Our own link fails attempts by chance until then.
+  TimePoint LastProof;   ///< Latest time at which something was sent from here
+                         ///< that has arrived at a server.
 };
 
 } // namespace balsamrack
