Read the store in two failure domains, and send configurations in groups of routes

Cause: one daemon of each failure domain read the store all the time, each starting daemon took itself for the reader until it knew the others, and a change was sent by each of six readers, whole and encoded once a receiver. A configuration of 1,400 routes took some 90 KB a copy, on links of 2 to 20 Mbit/s.

Change: the first daemons of two failure domains read; their proof of freshness goes to all daemons by one relay a domain; a daemon that takes over reads on until it hears another one's proof. A young daemon waits for a proof before it reads. Routes that differ in their address only share one entry on the wire (six bytes each). A message to many is encoded once.

Tests: NewsExchangeTest.AFleetOfHundredsReadsAsOftenAsASmallOne, AStartOfAllCostsFewWatches, EachCut (four kinds of cut), PeerCodecTest.ALargeConfigurationFitsTheBytesOfItsChange.

--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -235,10 +235,21 @@
     Watch.failed(Part::Peers, "send-failed", status);
 }
 
+void NewsPart::sendAll(const std::vector<EntryVm> &to,
+                       const PeerMessage &message) {
+  std::vector<Address> addresses;
+  addresses.reserve(to.size());
+  for (const EntryVm &it : to)
+    addresses.push_back(it.PeerAt);
+  absl::Status status = Peers->sendAll(addresses, message);
+  if (!status.ok())
+    Watch.failed(Part::Peers, "send-failed", status);
+}
+
 void NewsPart::onNews(TimePoint now, const std::vector<NewsAction> &actions) {
   for (const NewsAction &action : actions) {
     if (const auto *to = std::get_if<SendNews>(&action)) {
-      std::visit([&](const auto &what) { send(to->To, what); }, to->What);
+      std::visit([&](const auto &what) { sendAll(to->To, what); }, to->What);
     } else if (const auto *read = std::get_if<ReadNews>(&action)) {
       startRead(read->What);
     } else if (const auto *changed = std::get_if<NewsChanged>(&action)) {
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -79,6 +79,7 @@
   void membersChanged();
   void newsCame();
   void send(const EntryVm &to, const PeerMessage &message);
+  void sendAll(const std::vector<EntryVm> &to, const PeerMessage &message);
   void publishRoutes(TimePoint now);
   void publishFigures(TimePoint now);
   EntryVm senderOf(const Address &from) const;
--- a/Balsamrack/Peers/DatagramPeers.cpp
+++ b/Balsamrack/Peers/DatagramPeers.cpp
@@ -58,7 +58,20 @@
 
 absl::Status DatagramPeers::send(const Address &to,
                                  const PeerMessage &message) {
+  return sendFrame(to, encodePeerMessage(message));
+}
+
+absl::Status DatagramPeers::sendAll(const std::vector<Address> &to,
+                                    const PeerMessage &message) {
   std::string frame = encodePeerMessage(message);
+  absl::Status first;
+  for (const Address &it : to)
+    first.Update(sendFrame(it, frame));
+  return first;
+}
+
+absl::Status DatagramPeers::sendFrame(const Address &to,
+                                      const std::string &frame) {
   size_t pieces =
       std::max<size_t>(1, (frame.size() + PieceBytes - 1) / PieceBytes);
   if (pieces > MostPieces)
--- a/Balsamrack/Peers/DatagramPeers.h
+++ b/Balsamrack/Peers/DatagramPeers.h
@@ -55,6 +55,10 @@
   /// Sends \p message. Error (step send-to-peer) when it is too long or the
   /// system does not take it; ok promises nothing about arrival.
   absl::Status send(const Address &to, const PeerMessage &message);
+  /// Sends \p message to each of \p to; it is encoded once. The first error, as
+  /// of send(); the others get it all the same.
+  absl::Status sendAll(const std::vector<Address> &to,
+                       const PeerMessage &message);
   /// Takes in all that waits.
   void receive(const Got &got);
   /// What it has carried so far.
@@ -70,6 +74,7 @@
   using PendingKey = std::pair<Address, uint32_t>;
 
   explicit DatagramPeers(int fd) : Fd(fd) {}
+  absl::Status sendFrame(const Address &to, const std::string &frame);
   void take(const Address &from, const char *bytes, size_t n, const Got &got);
   void complete(const Address &from, const std::string &frame, const Got &got);
   void dropOldest();
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -6,14 +6,33 @@
 #include <utility>
 
 #include "Balsamrack/Peers/FieldArchive.h"
+#include "Balsamrack/Peers/RouteGroups.h"
 #include "Balsamrack/Published/PublishedMessages.h"
 
 namespace balsamrack {
 
 // Fields of what is published, for PeerFields.h; see there.
 
-/// What an object is, on the wire.
-enum class PublishedKind { Gone, Configuration, Server, DomainOut };
+/// What an object is, on the wire. Number 1 stood for a configuration whose
+/// routes were listed one by one; a daemon that knows only that form refuses
+/// the message and reads the publishing service by itself.
+enum class PublishedKind {
+  Gone = 0,
+  Server = 2,
+  DomainOut = 3,
+  Configuration = 4
+};
+
+/// The kind of \p content on the wire. Thread-safe.
+inline PublishedKind kindOf(const PublishedContent &content) {
+  if (std::holds_alternative<std::monostate>(content))
+    return PublishedKind::Gone;
+  if (std::holds_alternative<DomainOut>(content))
+    return PublishedKind::DomainOut;
+  using Server = std::shared_ptr<const PublishedServer>;
+  return std::holds_alternative<Server>(content) ? PublishedKind::Server
+                                                 : PublishedKind::Configuration;
+}
 
 template <class Ar>
 void fields(Ar &ar, typename Ar::template Ref<RouteTarget> m) {
@@ -22,12 +41,12 @@
 }
 
 template <class Ar>
-void fields(Ar &ar, typename Ar::template Ref<PublishedRoute> m) {
-  ar("a", m.At);
-  ar("t", m.Targets);
-  ar("l", m.Objective);
-  ar("d", m.Timeout);
-  ar("m", m.Idempotent);
+void fields(Ar &ar, typename Ar::template Ref<RouteGroup> m) {
+  ar("t", m.Common.Targets);
+  ar("l", m.Common.Objective);
+  ar("d", m.Common.Timeout);
+  ar("m", m.Common.Idempotent);
+  ar.bytes("a", m.Addresses);
 }
 
 template <class Ar>
@@ -45,7 +64,17 @@
 template <class Ar>
 void fields(Ar &ar, typename Ar::template Ref<OperatorConfiguration> m) {
   ar("v", m.Version);
-  ar("r", m.Routes);
+  if constexpr (Ar::Reads) {
+    std::vector<RouteGroup> groups;
+    ar("g", groups);
+    auto routes = ungroupRoutes(groups);
+    if (routes.ok())
+      m.Routes = *std::move(routes);
+    else
+      ar.fail("g");
+  } else {
+    ar("g", groupRoutes(m.Routes));
+  }
   ar("s", m.Services);
   ar("i", m.IdleTimeout);
 }
@@ -77,11 +106,11 @@
 
 template <class Ar>
 void fields(Ar &ar, typename Ar::template Ref<PublishedObject> m) {
-  auto kind = static_cast<PublishedKind>(m.Content.index());
+  PublishedKind kind = kindOf(m.Content);
   ar.oneOf("p", m.Section, PublishedSection::Servers);
   ar("n", m.Name);
   ar("r", m.At);
-  ar.oneOf("k", kind, PublishedKind::DomainOut);
+  ar.oneOf("k", kind, PublishedKind::Configuration);
   switch (kind) {
   case PublishedKind::Gone:
     if constexpr (Ar::Reads)
@@ -106,6 +135,9 @@
     ar("o", std::get<DomainOut>(m.Content));
     return;
   }
+  // Reached by a number that names no kind; writing names one always.
+  if constexpr (Ar::Reads)
+    ar.fail("k");
 }
 
 template <class Ar>
@@ -128,6 +160,7 @@
 void fields(Ar &ar, typename Ar::template Ref<PublishedOffer> m) {
   ar("m", m.Marks);
   ar("a", m.Answer);
+  ar("r", m.Relay);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace balsamrack {
@@ -14,6 +15,13 @@
 constexpr Duration NeverProved{3'600'000'000};
 /// Daemons of each other domain that hear of a change at once.
 constexpr size_t ToldElsewhere = 2;
+/// Daemons of each other domain that hear of a proof at once: one that is lost
+/// is made up for by the next.
+constexpr size_t ProvedElsewhere = 1;
+/// A proof that is newer than the last by less is not passed on.
+constexpr Duration LeastNewer{500'000};
+/// Peers that are offered a first listing.
+constexpr size_t OfferedAtStart = 2;
 /// Peers asked for news after a pause.
 constexpr size_t AskedOnWaking = 2;
 
@@ -23,24 +31,35 @@
                            RandomSource &random)
     : Settings(settings), Self(self), Random(random) {}
 
-size_t NewsExchange::rank() const {
+void NewsExchange::setPeers(const std::vector<EntryVm> &peers) {
+  Peers = peers;
   // By hash, so that no VM is special by its name; the same order everywhere.
   uint64_t own = Self.Id.hash();
-  return static_cast<size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [&](const EntryVm &vm) {
-        return vm.Domain == Self.Domain && !vm.Leaving && vm.Id.hash() < own;
-      }));
+  uint64_t ownDomain = Self.Domain.hash();
+  Place = 0;
+  std::set<uint64_t> before;
+  for (const EntryVm &vm : Peers) {
+    if (vm.Leaving)
+      continue;
+    if (vm.Domain == Self.Domain)
+      Place += vm.Id.hash() < own ? 1 : 0;
+    else if (vm.Domain.hash() < ownDomain)
+      before.insert(vm.Domain.hash());
+  }
+  DomainPlace = before.size();
 }
 
 bool NewsExchange::wantsRead(TimePoint now, PublishedSection section) const {
   const SectionState &state = at(section);
   if (state.Reading || now < state.NextRead)
     return false;
-  size_t place = rank();
-  if (place == 0 || Store.completeAs(section) == Revision{})
+  if (Store.completeAs(section) == Revision{} || state.TakenOver ||
+      state.ListNext)
+    return true;
+  if (reads() && !young(now))
     return true;
   Duration limit =
-      Settings.TakeoverAge + Settings.TakeoverStep * static_cast<int>(place);
+      Settings.TakeoverAge + Settings.TakeoverStep * static_cast<int>(Place);
   return now - state.ProvedAt > limit;
 }
 
@@ -54,6 +73,7 @@
     return;
   SectionState &state = at(section);
   state.Reading = true;
+  state.TakenOver = state.ProvedAt != TimePoint{} && !reads();
   Revision held = Store.completeAs(section);
   PublishedRead read;
   read.Section = section;
@@ -69,6 +89,8 @@
 }
 
 std::vector<NewsAction> NewsExchange::tick(TimePoint now) {
+  if (StartedAt == TimePoint{})
+    StartedAt = now;
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
   if (now >= NextOffer) {
@@ -80,8 +102,7 @@
 
 std::vector<NewsAction> NewsExchange::woke(TimePoint now) {
   for (bool ownDomain : {true, false})
-    for (const EntryVm &peer : pick(ownDomain, AskedOnWaking))
-      Actions.emplace_back(SendNews{peer, request()});
+    send(pick(ownDomain, AskedOnWaking), request());
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
   return take();
@@ -100,9 +121,7 @@
     Actions.emplace_back(SourceChanged{read.Section, true, ""});
   state.Failures = 0;
   state.ListNext = false;
-  // A first listing may be old; what follows it is not put off.
-  state.NextRead =
-      now + (read.MayBeOld ? Settings.OperatorsPeriod : periodOf(read.Section));
+  state.NextRead = nextReadAfter(now, read);
   if (!read.MayBeOld)
     state.ProvedAt = now;
   Revision before = Store.completeAs(read.Section);
@@ -110,15 +129,28 @@
   // What a daemon lists first is no news to those that run; whoever lacks it
   // asks. Told to all, it would cost each daemon of a fleet that starts two
   // dozen copies of everything.
-  bool news = changed && before != Revision{};
-  if (news)
+  if (changed && before != Revision{})
     tellFleet(now, Store.changesAfter(read.Section, before));
-  else if (changed || (reads() && !read.MayBeOld))
-    offerDomain(now);
+  else if (!read.MayBeOld)
+    spreadProof(now);
+  else if (changed)
+    offerDomain(now, OfferedAtStart);
   readIfWanted(now, read.Section);
   return take();
 }
 
+TimePoint NewsExchange::nextReadAfter(TimePoint now,
+                                      const PublishedRead &read) {
+  if (!read.MayBeOld)
+    return now + periodOf(read.Section);
+  // Guards against a fleet that starts: each daemon that does not know the
+  // others yet would take itself for the reader. The first that reads proves
+  // the state of all.
+  auto span = static_cast<uint64_t>(Settings.StartSpan.count());
+  return now + Settings.StartWait +
+         Duration(static_cast<int64_t>(Random.below(span)));
+}
+
 void NewsExchange::failed(TimePoint now, const PublishedRead &read,
                           const absl::Status &status) {
   SectionState &state = at(read.Section);
@@ -161,8 +193,9 @@
   return request;
 }
 
-void NewsExchange::takeMarks(TimePoint now,
+bool NewsExchange::takeMarks(TimePoint now,
                              const std::vector<SectionMark> &marks) {
+  bool newer = false;
   for (size_t i = 0; i < std::min(marks.size(), AllSections.size()); ++i) {
     const SectionMark &theirs = marks[i];
     PublishedSection section = AllSections[i];
@@ -171,9 +204,16 @@
     // What they had proved to be the newest is no newer than what is held.
     bool held =
         theirs.As != Revision{} && theirs.As <= Store.completeAs(section);
-    if (held && theirs.Age < NeverProved)
-      at(section).ProvedAt = std::max(at(section).ProvedAt, now - theirs.Age);
+    if (!held || theirs.Age >= NeverProved)
+      continue;
+    SectionState &state = at(section);
+    TimePoint proved = now - theirs.Age;
+    if (proved > state.ProvedAt + Settings.EchoSlack)
+      state.TakenOver = false;
+    newer = newer || proved > state.ProvedAt + LeastNewer;
+    state.ProvedAt = std::max(state.ProvedAt, proved);
   }
+  return newer;
 }
 
 bool NewsExchange::lacks(const std::vector<SectionMark> &theirs) const {
@@ -186,12 +226,13 @@
 std::vector<NewsAction> NewsExchange::offered(TimePoint now,
                                               const EntryVm &from,
                                               const PublishedOffer &offer) {
-  takeMarks(now, offer.Marks);
+  if (takeMarks(now, offer.Marks) && offer.Relay)
+    offerDomain(now, Settings.MostTold);
   // Guards against a fleet that starts, where each daemon would be sent
   // everything by everybody whose offer comes before the first answer.
   if (lacks(offer.Marks) && now >= NextRequest) {
     NextRequest = now + Settings.RequestPeriod;
-    Actions.emplace_back(SendNews{from, request()});
+    send({from}, request());
   }
   bool theyLack = false;
   for (size_t i = 0; i < std::min(offer.Marks.size(), AllSections.size()); ++i)
@@ -211,7 +252,7 @@
       update.Changes.push_back(Store.changesAfter(section, request.After[i]));
   }
   update.Marks = marks(now);
-  Actions.emplace_back(SendNews{from, std::move(update)});
+  send({from}, std::move(update));
   return take();
 }
 
@@ -225,7 +266,7 @@
   }
   takeMarks(now, update.Marks);
   if (gap)
-    Actions.emplace_back(SendNews{from, request()});
+    send({from}, request());
   if (changed && !update.Relayed && from.Domain != Self.Domain) {
     PublishedUpdate relay = update;
     relay.Relayed = true;
@@ -262,9 +303,26 @@
   return chosen;
 }
 
+std::vector<EntryVm> NewsExchange::pickOfOtherDomains(size_t ofEach) {
+  std::vector<EntryVm> others = pick(false, Peers.size());
+  for (size_t i = others.size(); i > 1; --i)
+    std::swap(others[i - 1], others[Random.below(i)]);
+  std::map<DomainId, size_t> chosenOf;
+  std::vector<EntryVm> chosen;
+  for (const EntryVm &peer : others)
+    if (chosenOf[peer.Domain]++ < ofEach)
+      chosen.push_back(peer);
+  return chosen;
+}
+
+void NewsExchange::send(std::vector<EntryVm> to,
+                        decltype(SendNews::What) what) {
+  if (!to.empty())
+    Actions.emplace_back(SendNews{std::move(to), std::move(what)});
+}
+
 void NewsExchange::tellDomain(const PublishedUpdate &update) {
-  for (const EntryVm &peer : pick(true, Settings.MostTold))
-    Actions.emplace_back(SendNews{peer, update});
+  send(pick(true, Settings.MostTold), update);
 }
 
 void NewsExchange::tellFleet(TimePoint now, PublishedChanges changes) {
@@ -273,17 +331,12 @@
   update.Marks = marks(now);
   tellDomain(update);
   bool all = Peers.size() <= Settings.AllTold;
-  std::map<DomainId, size_t> toldIn;
-  std::vector<EntryVm> others = pick(false, Peers.size());
-  for (size_t i = others.size(); i > 1; --i)
-    std::swap(others[i - 1], others[Random.below(i)]);
-  for (const EntryVm &peer : others)
-    if (all || toldIn[peer.Domain]++ < ToldElsewhere)
-      Actions.emplace_back(SendNews{peer, update});
+  send(all ? pick(false, Peers.size()) : pickOfOtherDomains(ToldElsewhere),
+       std::move(update));
 }
 
 void NewsExchange::offerTo(TimePoint now, const EntryVm &peer, bool answer) {
-  Actions.emplace_back(SendNews{peer, PublishedOffer{marks(now), answer}});
+  send({peer}, PublishedOffer{marks(now), answer, false});
 }
 
 void NewsExchange::offerOne(TimePoint now) {
@@ -295,9 +348,14 @@
     offerTo(now, chosen.front(), false);
 }
 
-void NewsExchange::offerDomain(TimePoint now) {
-  for (const EntryVm &peer : pick(true, Settings.MostTold))
-    offerTo(now, peer, true);
+void NewsExchange::offerDomain(TimePoint now, size_t most) {
+  send(pick(true, most), PublishedOffer{marks(now), true, false});
+}
+
+void NewsExchange::spreadProof(TimePoint now) {
+  offerDomain(now, Settings.MostTold);
+  send(pickOfOtherDomains(ProvedElsewhere),
+       PublishedOffer{marks(now), true, true});
 }
 
 TimePoint NewsExchange::nextWakeup() const {
@@ -305,7 +363,7 @@
   for (PublishedSection section : AllSections) {
     const SectionState &state = at(section);
     bool unknown = Store.completeAs(section) == Revision{};
-    if (!state.Reading && (unknown || reads()))
+    if (!state.Reading && (unknown || reads() || state.TakenOver))
       next = std::min(next, state.NextRead);
   }
   return next;
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -20,11 +20,21 @@
   Duration Watch{2'000'000}; ///< One watch of the publishing service waits so
                              ///< long: its answer is the proof that the service
                              ///< still speaks to its reader.
-  Duration TakeoverAge{2'600'000};  ///< News without such a proof for longer:
-                                    ///< others read too. A watch and its way to
-                                    ///< all peers fit in.
-  Duration TakeoverStep{200'000};   ///< The next one in a domain's order waits
-                                    ///< longer by this, so that few read.
+  size_t RegularReaders = 2; ///< Failure domains whose first daemon reads all
+                             ///< the time. Two, so that one that fails or is
+                             ///< cut off delays nothing.
+  Duration TakeoverAge{2'600'000}; ///< News without such a proof for longer:
+                                   ///< others read too. A watch and its way to
+                                   ///< all peers fit in.
+  Duration TakeoverStep{200'000};  ///< The next one in a domain's order waits
+                                   ///< longer by this, so that few read.
+  Duration StartSpan{2'000'000};   ///< A daemon younger than this may not know
+                                   ///< yet who else is there: it reads only
+                                   ///< when no peer proves its state in time.
+  Duration StartWait{300'000};     ///< It waits so long for that, and up to
+                                   ///< StartSpan more, at random.
+  Duration EchoSlack{200'000}; ///< A proof that is newer than one of our own by
+                               ///< less may be our own, sent back.
   Duration OfferPeriod{250'000};    ///< One peer is told what is held here.
   Duration RequestPeriod{50'000};   ///< Between requests that offers give rise
                                     ///< to: an answer takes some milliseconds.
@@ -36,14 +46,14 @@
                                     ///< several a second, and each change would
                                     ///< cost a call of each reader. Servers
                                     ///< drain for three seconds at least.
-  size_t MostTold = 32; ///< Peers of the own domain that are told of a change
+  size_t MostTold = 64; ///< Peers of the own domain that are told of a change
                         ///< at once; more hear by offers.
   size_t AllTold = 16;  ///< A fleet up to this size is told as a whole.
 };
 
-/// Send a peer a message.
+/// Send some peers the same message.
 struct SendNews {
-  EntryVm To; ///< Whom.
+  std::vector<EntryVm> To; ///< Whom; at least one.
   std::variant<PublishedOffer, PublishedRequest, PublishedUpdate> What;
 };
 /// Read the publishing service; answer by readEnded().
@@ -66,12 +76,14 @@
 /// All that a NewsExchange asks for, in order.
 using NewsAction = std::variant<SendNews, ReadNews, NewsChanged, SourceChanged>;
 
-/// Who reads the publishing service, and how everybody hears: one daemon a
-/// failure domain reads and tells its domain and a few others; all compare what
-/// they hold with one random peer a quarter second. Whoever hears no proof of
-/// freshness for some seconds reads by itself, so news depend neither on one's
-/// own path to the service nor on any single daemon. Load of a daemon and of
-/// the service does not grow with the fleet. Deterministic. Not thread-safe.
+/// Who reads the publishing service, and how everybody hears: the first daemons
+/// of two failure domains read and tell their own domain and one or two daemons
+/// of each other one, which pass it on to theirs; all compare what they hold
+/// with one random peer a quarter second. Whoever hears no proof of freshness
+/// for some seconds reads by itself, so news depend neither on one's own path
+/// to the service nor on any single daemon. The load of the service grows
+/// neither with the fleet nor with its failure domains. Deterministic. Not
+/// thread-safe.
 class NewsExchange {
 public:
   /// An exchange for \p self that holds nothing. Precondition: \p random
@@ -85,11 +97,13 @@
   TimePoint provedAt(PublishedSection section) const {
     return at(section).ProvedAt;
   }
-  /// True when this daemon is its domain's reader.
-  bool reads() const { return rank() == 0; }
+  /// True when this daemon is a regular reader.
+  bool reads() const {
+    return Place == 0 && DomainPlace < Settings.RegularReaders;
+  }
 
   /// These daemons live, this one left out.
-  void setPeers(const std::vector<EntryVm> &peers) { Peers = peers; }
+  void setPeers(const std::vector<EntryVm> &peers);
   /// Time has passed; to be called by nextWakeup().
   std::vector<NewsAction> tick(TimePoint now);
   /// This process was paused: what it holds may be old.
@@ -112,11 +126,13 @@
 private:
   /// What is known and under way for one section.
   struct SectionState {
-    TimePoint ProvedAt;    ///< See provedAt().
-    bool Reading = false;  ///< A read is under way.
-    bool ListNext = false; ///< The history that a watch needs is gone.
-    TimePoint NextRead;    ///< Not before.
-    uint32_t Failures = 0; ///< In a row.
+    TimePoint ProvedAt;     ///< See provedAt().
+    bool Reading = false;   ///< A read is under way.
+    bool ListNext = false;  ///< The history that a watch needs is gone.
+    bool TakenOver = false; ///< Reads although it is no regular reader, until a
+                            ///< proof of another daemon's comes.
+    TimePoint NextRead;     ///< Not before.
+    uint32_t Failures = 0;  ///< In a row.
   };
 
   SectionState &at(PublishedSection section) {
@@ -125,7 +141,9 @@
   const SectionState &at(PublishedSection section) const {
     return Sections[static_cast<size_t>(section)];
   }
-  size_t rank() const;
+  bool young(TimePoint now) const {
+    return now < StartedAt + Settings.StartSpan;
+  }
   bool wantsRead(TimePoint now, PublishedSection section) const;
   Duration periodOf(PublishedSection section) const;
   void readIfWanted(TimePoint now, PublishedSection section);
@@ -133,15 +151,19 @@
               const absl::Status &status);
   std::vector<SectionMark> marks(TimePoint now) const;
   PublishedRequest request() const;
-  void takeMarks(TimePoint now, const std::vector<SectionMark> &marks);
+  bool takeMarks(TimePoint now, const std::vector<SectionMark> &marks);
+  TimePoint nextReadAfter(TimePoint now, const PublishedRead &read);
   bool lacks(const std::vector<SectionMark> &theirs) const;
   bool merge(const PublishedChanges &changes, const VmId &from);
   void tellDomain(const PublishedUpdate &update);
   void tellFleet(TimePoint now, PublishedChanges changes);
   void offerTo(TimePoint now, const EntryVm &peer, bool answer);
   void offerOne(TimePoint now);
-  void offerDomain(TimePoint now);
+  void offerDomain(TimePoint now, size_t most);
+  void spreadProof(TimePoint now);
   std::vector<EntryVm> pick(bool ownDomain, size_t most);
+  std::vector<EntryVm> pickOfOtherDomains(size_t ofEach);
+  void send(std::vector<EntryVm> to, decltype(SendNews::What) what);
   std::vector<NewsAction> take() { return std::exchange(Actions, {}); }
 
   const NewsSettings Settings;
@@ -150,9 +172,12 @@
   PublishedStore Store;                                 ///< What is held.
   std::array<SectionState, PublishedSections> Sections; ///< By section.
   std::vector<EntryVm> Peers;                           ///< Who lives.
-  TimePoint NextRequest;           ///< Not before; see RequestPeriod.
-  TimePoint NextOffer;             ///< Of one random peer.
-  bool DomainTurn = true;          ///< Whose turn the next offer is.
+  size_t Place = 0;       ///< In the order of the own domain's daemons.
+  size_t DomainPlace = 0; ///< Of the own domain in the order of all domains.
+  TimePoint StartedAt;    ///< Of the first tick.
+  TimePoint NextRequest;  ///< Not before; see RequestPeriod.
+  TimePoint NextOffer;    ///< Of one random peer.
+  bool DomainTurn = true; ///< Whose turn the next offer is.
   std::vector<NewsAction> Actions; ///< Of the call under way.
 };
 
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -21,6 +21,8 @@
 struct PublishedOffer {
   std::vector<SectionMark> Marks; ///< One a section, in their order.
   bool Answer = false;            ///< Answers an offer: needs none itself.
+  bool Relay = false; ///< Carries a new proof: pass it on within the failure
+                      ///< domain.
 };
 
 /// Asks a peer for what is lacking here.
--- a/UnitTests/Peers/DatagramPeersTest.cpp
+++ b/UnitTests/Peers/DatagramPeersTest.cpp
@@ -55,13 +55,13 @@
     EXPECT_EQ(encodePeerMessage(got[i]), encodePeerMessage(sent[i]));
 }
 
-// Story: operators publish thousands of routes at once. They reach a peer in
-// pieces, whole.
+// Guards against a configuration of thousands of routes, none like another,
+// that is lost for its length.
 TEST_F(DatagramPeersTest, ALongMessageComesInPieces) {
   auto c = std::make_shared<OperatorConfiguration>();
   for (uint16_t i = 0; i < 3000; ++i)
     c->Routes.push_back({{"198.18.1.1", static_cast<uint16_t>(i + 1)},
-                         {{ServiceId("booking"), 1}}});
+                         {{ServiceId("booking-" + std::to_string(i)), 1}}});
   PublishedUpdate update;
   update.Changes.push_back(
       {PublishedSection::Operators,
--- a/UnitTests/Peers/PeerCodecTest.cpp
+++ b/UnitTests/Peers/PeerCodecTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "Balsamrack/Core/Errors.h"
 #include "Balsamrack/Core/Random.h"
 #include "UnitTests/Peers/PeerSamples.h"
@@ -9,6 +11,10 @@
 namespace balsamrack {
 namespace {
 
+/// Control bytes that a daemon may spend while one configuration comes into
+/// force: 3 KB a second for six seconds.
+constexpr size_t ConfigurationBytes = 18'000;
+
 class EachMessage : public testing::TestWithParam<size_t> {
 protected:
   PeerMessage Sample = samplePeerMessages()[GetParam()];
@@ -155,5 +161,50 @@
                  "Ping: bad field: q"}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+// Guards against a configuration that grows by many routes and fills the links
+// of small VMs: each daemon gets a copy or more of it.
+TEST(PeerCodecTest, ALargeConfigurationFitsTheBytesOfItsChange) {
+  auto large = std::make_shared<OperatorConfiguration>();
+  for (uint16_t i = 0; i < 1400; ++i)
+    large->Routes.push_back({{"198.18." + std::to_string(i / 200) + ".1", i},
+                             {{ServiceId(i % 2 ? "booking" : "plans"), 1}},
+                             Duration(i % 3 ? 400'000 : 1'200'000),
+                             Duration(2'500'000),
+                             i % 5 != 0});
+  PublishedUpdate update{
+      {{PublishedSection::Operators,
+        {8},
+        {9},
+        {{PublishedSection::Operators,
+          "config",
+          {9},
+          std::shared_ptr<const OperatorConfiguration>(large)}}}},
+      {},
+      false};
+  std::string frame = encodePeerMessage(update);
+  EXPECT_LE(frame.size(), ConfigurationBytes);
+  auto back = decodePeerMessage(frame);
+  ASSERT_TRUE(back.ok()) << back.status();
+  const PublishedObject &object =
+      std::get<PublishedUpdate>(*back).Changes[0].Objects[0];
+  using Shared = std::shared_ptr<const OperatorConfiguration>;
+  const OperatorConfiguration &got = *std::get<Shared>(object.Content);
+  auto byAddress = [](const OperatorConfiguration &of) {
+    std::map<Address, PublishedRoute> all;
+    for (const PublishedRoute &it : of.Routes)
+      all[it.At] = it;
+    return all;
+  };
+  auto sent = byAddress(*large);
+  auto came = byAddress(got);
+  ASSERT_EQ(came.size(), sent.size());
+  for (const auto &[at, route] : sent) {
+    EXPECT_EQ(came[at].Targets, route.Targets);
+    EXPECT_EQ(came[at].Objective, route.Objective);
+    EXPECT_EQ(came[at].Timeout, route.Timeout);
+    EXPECT_EQ(came[at].Idempotent, route.Idempotent);
+  }
+}
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -54,7 +54,9 @@
                 {{ServiceId("booking"), 90}, {ServiceId("plans"), 10}},
                 Duration(150'000),
                 Duration(1'500'000),
-                true}};
+                true},
+               {{"198.18.0.2", 80}, {{ServiceId("plans"), 1}}},
+               {{"198.18.0.3", 80}, {{ServiceId("plans"), 1}}}};
   c->Services = {{ServiceId("booking"), 2.5}};
   c->IdleTimeout = Duration(15'000'000);
   return {PublishedSection::Operators,
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -148,5 +148,86 @@
                            return std::string(info.param.Name);
                          });
 
+/// Calls of all daemons of a fleet in calm times.
+uint64_t callsOfFleet(size_t domains, size_t perDomain) {
+  NewsFleet fleet(domains, perDomain, 1);
+  fleet.run(Second * 8);
+  for (auto &node : fleet.Nodes)
+    node.Calls = 0;
+  fleet.run(Second * 20);
+  uint64_t calls = 0;
+  for (auto &node : fleet.Nodes)
+    calls += node.Calls;
+  return calls;
+}
+
+// Guards against a load of the publishing service that grows with the daemons
+// or with their failure domains.
+TEST(NewsExchangeTest, AFleetOfHundredsReadsAsOftenAsASmallOne) {
+  EXPECT_LE(callsOfFleet(6, 49), 2 * callsOfFleet(3, 3));
+}
+
+// Guards against a fleet that starts as a whole, in which each daemon takes
+// itself for the reader until it knows the others.
+TEST(NewsExchangeTest, AStartOfAllCostsFewWatches) {
+  NewsFleet fleet(6, 49, 1);
+  fleet.run(Second * 3);
+  uint64_t watches = 0;
+  for (auto &node : fleet.Nodes)
+    watches += node.Watches;
+  EXPECT_LE(watches, fleet.Nodes.size() / 4);
+}
+
+/// Which messages do not pass.
+struct Cut {
+  const char *Name;
+  std::function<bool(const NewsFleet::Node &, const NewsFleet::Node &)> Reaches;
+};
+
+class EachCut : public testing::TestWithParam<Cut> {};
+
+// Guards against a failure domain that keeps old routes after a cut, although
+// the publishing service still answers it.
+TEST_P(EachCut, AChangeIsInForceOnAllSides) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    NewsFleet fleet(6, 4, seed);
+    fleet.run(Second * 5);
+    ASSERT_TRUE(fleet.allHold(1)) << "seed " << seed;
+    fleet.Reaches = GetParam().Reaches;
+    for (uint64_t version = 2; version <= 4; ++version) {
+      fleet.run(Duration(100'000 + 300'000 * static_cast<int64_t>(version)));
+      fleet.publish();
+      fleet.run(InForce);
+      EXPECT_TRUE(fleet.allHold(version))
+          << "seed " << seed << " version " << version;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cuts, EachCut,
+    testing::Values(Cut{"OneDomainAlone",
+                        [](const auto &a, const auto &b) {
+                          return (a.Vm.Domain == DomainId("d2")) ==
+                                 (b.Vm.Domain == DomainId("d2"));
+                        }},
+                    Cut{"Halves",
+                        [](const auto &a, const auto &b) {
+                          return (a.Vm.Domain < DomainId("d3")) ==
+                                 (b.Vm.Domain < DomainId("d3"));
+                        }},
+                    Cut{"TwoThatAThirdReaches",
+                        [](const auto &a, const auto &b) {
+                          auto pair =
+                              std::minmax(a.Vm.Domain.str(), b.Vm.Domain.str());
+                          return pair.first != "d0" || pair.second != "d1";
+                        }},
+                    Cut{"OneWayOnly",
+                        [](const auto &a, const auto &b) {
+                          return a.Vm.Domain == b.Vm.Domain ||
+                                 a.Vm.Domain != DomainId("d4");
+                        }}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/NewsFleet.h
@@ -24,6 +24,7 @@
     bool CutOff = false; ///< From all peers.
     Source Reads = Source::Good;
     uint64_t Calls = 0;
+    uint64_t Watches = 0; ///< Those of Calls that are no first listing.
     uint64_t Messages = 0;
   };
 
@@ -119,6 +120,9 @@
   }
 
   std::vector<Node> Nodes;
+  /// Whether messages pass from one node to another; all do by default.
+  std::function<bool(const Node &, const Node &)> Reaches =
+      [](const Node &, const Node &) { return true; };
   uint64_t ObjectsTold = 0; ///< In updates, by all nodes.
   uint64_t Version = 0;
   TimePoint Now{Duration(1'000'000)};
@@ -160,20 +164,22 @@
   void act(size_t i, const std::vector<NewsAction> &actions) {
     for (const NewsAction &action : actions) {
       if (const auto *send = std::get_if<SendNews>(&action))
-        deliver(i, *send);
+        for (const EntryVm &to : send->To)
+          deliver(i, to, *send);
       else if (const auto *read = std::get_if<ReadNews>(&action))
         begin(i, read->What);
     }
   }
-  void deliver(size_t from, const SendNews &send) {
+  void deliver(size_t from, const EntryVm &peer, const SendNews &send) {
     ++Nodes[from].Messages;
     if (const auto *update = std::get_if<PublishedUpdate>(&send.What))
       for (const PublishedChanges &it : update->Changes)
         ObjectsTold += it.Objects.size();
-    size_t to = indexOf(send.To.Id);
-    SendNews copy = send;
+    size_t to = indexOf(peer.Id);
+    SendNews copy{{}, send.What};
     after(Duration(2'000), [this, from, to, copy] {
-      if (!Nodes[to].Running || Nodes[from].CutOff || Nodes[to].CutOff)
+      if (!Nodes[to].Running || Nodes[from].CutOff || Nodes[to].CutOff ||
+          !Reaches(Nodes[from], Nodes[to]))
         return;
       NewsExchange &at = *Nodes[to].Exchange;
       const EntryVm &sender = Nodes[from].Vm;
@@ -187,6 +193,7 @@
   }
   void begin(size_t i, const PublishedRead &read) {
     ++Nodes[i].Calls;
+    Nodes[i].Watches += read.After == Revision{} ? 0 : 1;
     auto watch = std::make_shared<Watch>(Watch{i, Lives, read});
     if (Nodes[i].Reads == Source::Refuses) {
       after(Duration(4'000),
