Look at doubted servers only, and update tables of the fleet at most every 100 ms

Cause: a profile of the daemons on the large deployment (600 servers, 295 daemons, untouched code) showed a fifth to a third of their time in walks over all servers and all members: SilenceDetector::due and nextDue go through every server for each packet and look domains up by name, MemberTable::forget through every member for each message, and each single member change sorts the fleet.

Change: the detector keeps servers by index and a set of those that are asked; members are looked through for old ones four times a second; changes of members and of routes are gathered for 100 ms. The wait before a takeover doubles by rank, so that few daemons ask a store that is away.

Tests: EachSending (HttpClientTest), and those of the detector, which must give the same decisions as before.

--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/NewsPart.cpp
@@ -16,6 +16,9 @@
 /// The loop looks around at least so often.
 constexpr Duration MostWait{250'000};
 constexpr int64_t MicrosPerMilli = 1000;
+/// Guards against changes that come one by one by the hundred, at a start of
+/// the fleet or in a release: each update goes through all daemons or servers.
+constexpr Duration UpdatePeriod{100'000};
 
 /// Times for daemons that own nothing: membership only says who may be told of
 /// news and how many share the load, so hints are tried sooner and there is no
@@ -103,6 +106,10 @@
   TimePoint now = Time.now();
   TimePoint until =
       std::min({now + MostWait, Exchange.nextWakeup(), Book.nextChange()});
+  if (RoutesDue && Exchange.store().complete())
+    until = std::min(until, NextRoutes);
+  if (MembersDue)
+    until = std::min(until, NextMembers);
   if (auto next = Members->nextWakeup())
     until = std::min(until, *next);
   int64_t micros = std::max<int64_t>(0, (until - now).count());
@@ -112,7 +119,6 @@
 
 void NewsPart::run() {
   stepMembership(Time.now(), balsamrack::Seeds{Seeds});
-  membersChanged();
   while (!Stopping) {
     TimePoint now = Time.now();
     for (const TaskQueue::Task &task : Tasks->take())
@@ -121,9 +127,9 @@
       received(now, from, std::move(message));
     });
     stepMembership(now, MembershipTicked{});
+    publishMembers(now);
     onNews(now, Exchange.tick(now));
-    if (RoutesDue || now >= Book.nextChange())
-      publishRoutes(now);
+    publishRoutes(now);
     publishFigures(now);
     wait();
   }
@@ -184,7 +190,7 @@
                   .flag("unreachable", changed->Unreachable)
                   .flag("leaving", news.Vm.Leaving)
                   .number("run", news.Run.Value));
-    membersChanged();
+    MembersDue = true;
   } else if (const auto *later = std::get_if<Superseded>(&action)) {
     // Peers still hold a life of this VM whose number is higher: the time of
     // day, from which the number was taken, has gone back. There is one
@@ -204,10 +210,14 @@
     return;
   }
   stepMembership(now, balsamrack::Seeds{Seeds});
-  membersChanged();
+  MembersDue = true;
 }
 
-void NewsPart::membersChanged() {
+void NewsPart::publishMembers(TimePoint now) {
+  if (!MembersDue || now < NextMembers)
+    return;
+  MembersDue = false;
+  NextMembers = now + UpdatePeriod;
   std::vector<EntryVm> peers;
   std::vector<std::pair<DomainId, VmId>> order;
   for (const auto &[id, member] : Members->members()) {
@@ -320,9 +330,11 @@
 }
 
 void NewsPart::publishRoutes(TimePoint now) {
-  if (!Exchange.store().complete())
+  bool due = (RoutesDue && now >= NextRoutes) || now >= Book.nextChange();
+  if (!due || !Exchange.store().complete())
     return;
   RoutesDue = false;
+  NextRoutes = now + UpdatePeriod;
   Listener.routesChanged(Book.snapshot(now));
 }
 
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/NewsPart.h
@@ -76,7 +76,7 @@
                  const absl::StatusOr<PublishedChanges> &result);
   void newsChanged(TimePoint now, const NewsChanged &changed);
   void logChange(const PublishedObject &object, const VmId &from);
-  void membersChanged();
+  void publishMembers(TimePoint now);
   void newsCame();
   void send(const EntryVm &to, const PeerMessage &message);
   void sendAll(const std::vector<EntryVm> &to, const PeerMessage &message);
@@ -100,6 +100,9 @@
   NewsExchange Exchange;
   RouteBook Book;
   bool RoutesDue = true;   ///< A snapshot is to be made once all is known.
+  TimePoint NextRoutes;    ///< Not before; see UpdatePeriod.
+  bool MembersDue = true;  ///< The live daemons have changed.
+  TimePoint NextMembers;   ///< Not before; see UpdatePeriod.
   bool AwaitsNews = false; ///< A pause has ended, and no news came since.
   TimePoint NextFigures;
   size_t LivePeers = 0;
--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -4,24 +4,66 @@
 
 namespace balsamrack {
 
+SilenceDetector::Record *SilenceDetector::find(size_t server) {
+  return server < Servers.size() && Servers[server].Used ? &Servers[server]
+                                                         : nullptr;
+}
+
+const SilenceDetector::Record *SilenceDetector::find(size_t server) const {
+  return server < Servers.size() && Servers[server].Used ? &Servers[server]
+                                                         : nullptr;
+}
+
 void SilenceDetector::add(size_t server, const DomainId &domain) {
-  Record record;
-  record.Domain = domain;
-  Servers.try_emplace(server, std::move(record));
-  Domains.try_emplace(domain);
+  if (find(server))
+    return;
+  auto [it, isNew] = DomainById.try_emplace(domain, Domains.size());
+  if (isNew)
+    Domains.emplace_back();
+  if (server >= Servers.size())
+    Servers.resize(server + 1);
+  Servers[server] = Record();
+  Servers[server].Used = true;
+  Servers[server].Domain = it->second;
 }
 
 void SilenceDetector::remove(size_t server) {
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  Record *record = find(server);
+  if (!record)
+    return;
+  setProved(*record, false);
+  *record = Record();
+  updateAsked(server);
+}
+
+void SilenceDetector::updateAsked(size_t server) {
+  if (Servers[server].Used && askedByItself(Servers[server]))
+    Asked.insert(server);
+  else
+    Asked.erase(server);
+}
+
+template <class Visit> void SilenceDetector::visitAsked(Visit visit) const {
+  if (SilentDomains == 0) {
+    for (size_t server : Asked)
+      visit(server);
     return;
-  setProved(it->second, false);
-  Servers.erase(it);
+  }
+  for (size_t server = 0; server < Servers.size(); ++server)
+    if (Servers[server].Used && asked(Servers[server]))
+      visit(server);
+}
+
+void SilenceDetector::setDomainSilent(DomainRecord &whole, bool silent) {
+  if (whole.Silent == silent)
+    return;
+  whole.Silent = silent;
+  SilentDomains += silent ? 1 : -1;
 }
 
 void SilenceDetector::doubtOwnLink(TimePoint now) {
   UnsureUntil = now + Settings.BlindSpan;
-  for (auto &[server, record] : Servers)
+  for (Record &record : Servers)
     if (record.Witnessed < Settings.LostAttempts)
       record.Witnessed = 0;
 }
@@ -36,10 +78,10 @@
 
 bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
                                  uint32_t caller) {
-  auto it = Servers.find(server);
-  if (it == Servers.end() || it->second.LastAnswer >= sentAt)
+  Record *found = find(server);
+  if (!found || found->LastAnswer >= sentAt)
     return false;
-  Record &record = it->second;
+  Record &record = *found;
   if (record.LastCaller == caller)
     return false;
   record.LastCaller = caller;
@@ -58,48 +100,51 @@
   record.SilentSince = sentAt;
   record.DoubtedSince = {};
   record.NextAttempt = now + (relapse ? record.Hold : Duration{0});
+  updateAsked(server);
   judgeDomain(now, record.Domain);
   return true;
 }
 
-void SilenceDetector::judgeDomain(TimePoint now, const DomainId &domain) {
+void SilenceDetector::judgeDomain(TimePoint now, size_t domain) {
   DomainRecord &whole = Domains[domain];
   uint32_t silent = 0;
-  for (const auto &[server, record] : Servers)
+  for (size_t server : Asked) {
+    const Record &record = Servers[server];
     if (record.Domain == domain && record.Silent &&
         record.SilentSince > whole.LastAnswer)
       ++silent;
+  }
   if (whole.Silent || silent < Settings.DomainLimit)
     return;
-  whole.Silent = true;
+  setDomainSilent(whole, true);
   // Guards against two dead servers that take a living third one with them: it
   // gets no openings now, so it is asked at once and speaks for its domain.
-  for (auto &[server, record] : Servers)
-    if (record.Domain == domain && !record.Silent)
+  for (Record &record : Servers)
+    if (record.Used && record.Domain == domain && !record.Silent)
       record.NextAttempt = now;
 }
 
 bool SilenceDetector::asked(const Record &record) const {
-  return record.Silent || record.DoubtedSince != TimePoint{} ||
-         domainSilent(record.Domain);
+  return askedByItself(record) || Domains[record.Domain].Silent;
 }
 
 void SilenceDetector::doubted(TimePoint now, size_t server, TimePoint sentAt) {
-  auto it = Servers.find(server);
-  if (it == Servers.end() || it->second.LastReached >= sentAt ||
-      asked(it->second))
+  Record *record = find(server);
+  if (!record || record->LastReached >= sentAt || asked(*record))
     return;
-  it->second.DoubtedSince = sentAt;
-  it->second.WithDomain = false;
-  it->second.Failed = 0;
-  it->second.NextAttempt = now;
+  record->DoubtedSince = sentAt;
+  record->WithDomain = false;
+  record->Failed = 0;
+  record->NextAttempt = now;
+  updateAsked(server);
 }
 
-void SilenceDetector::doubtDomain(TimePoint now, const DomainId &domain,
+void SilenceDetector::doubtDomain(TimePoint now, size_t domain,
                                   TimePoint since) {
   uint32_t left = Settings.DoubtedTogether;
-  for (auto &[other, record] : Servers) {
-    if (record.Domain != domain || asked(record))
+  for (size_t other = 0; other < Servers.size(); ++other) {
+    Record &record = Servers[other];
+    if (!record.Used || record.Domain != domain || asked(record))
       continue;
     doubted(now, other, since);
     if (!asked(record))
@@ -112,22 +157,24 @@
 
 void SilenceDetector::arrived(size_t server, TimePoint sentAt) {
   LastProof = std::max(LastProof, sentAt);
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  Record *found = find(server);
+  if (!found)
     return;
-  Record &record = it->second;
+  Record &record = *found;
   if (record.Silent && sentAt < record.SilentSince)
     return;
   record.LastReached = std::max(record.LastReached, sentAt);
-  if (record.DoubtedSince != TimePoint{} && sentAt >= record.DoubtedSince)
-    record.DoubtedSince = {};
+  if (record.DoubtedSince == TimePoint{} || sentAt < record.DoubtedSince)
+    return;
+  record.DoubtedSince = {};
+  updateAsked(server);
 }
 
 bool SilenceDetector::answered(TimePoint now, size_t server) {
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  Record *found = find(server);
+  if (!found)
     return false;
-  Record &record = it->second;
+  Record &record = *found;
   record.LastAnswer = now;
   record.LastReached = now;
   record.DoubtedSince = {};
@@ -138,31 +185,33 @@
   // The others of a domain that speaks again are trusted too: the next two
   // openings or attempts tell.
   if (whole.Silent) {
-    whole.Silent = false;
-    for (auto &[other, its] : Servers)
-      if (its.Domain == record.Domain && its.Silent)
-        its.NextAttempt = now;
+    setDomainSilent(whole, false);
+    for (size_t other : Asked)
+      if (Servers[other].Domain == record.Domain && Servers[other].Silent)
+        Servers[other].NextAttempt = now;
   }
   bool was = record.Silent;
   record.Silent = false;
   record.AttemptFailed = false;
   record.Witnessed = 0;
   setProved(record, false);
+  updateAsked(server);
   return was;
 }
 
 bool SilenceDetector::connected(TimePoint now, size_t server) {
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  Record *found = find(server);
+  if (!found)
     return false;
-  Record &record = it->second;
+  Record &record = *found;
   LastProof = std::max(LastProof, record.AskedAt);
   if (record.Failed > 0 || record.AttemptFailed)
     doubtOwnLink(now);
-  if (record.Silent || domainSilent(record.Domain))
+  if (record.Silent || Domains[record.Domain].Silent)
     return answered(now, server);
   record.LastReached = now;
   record.DoubtedSince = {};
+  updateAsked(server);
   record.Failed = 0;
   record.Witnessed = 0;
   Domains[record.Domain].LastAnswer = now;
@@ -170,16 +219,16 @@
 }
 
 bool SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure) {
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  Record *found = find(server);
+  if (!found)
     return false;
-  if (!asked(it->second)) {
+  if (!asked(*found)) {
     // It was to accompany others.
     if (sure)
       doubtOwnLink(now);
     return false;
   }
-  Record &record = it->second;
+  Record &record = *found;
   bool was = record.Silent;
   TimePoint since = was ? record.SilentSince : record.DoubtedSince;
   // Else it may be this daemon's own link that is full or cut.
@@ -203,6 +252,7 @@
   if (!unsettled)
     record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
   record.NextAttempt = now + (unsettled ? Settings.FirstHold : record.Hold);
+  updateAsked(server);
   if (!was)
     judgeDomain(now, record.Domain);
   return !was;
@@ -219,47 +269,45 @@
 }
 
 bool SilenceDetector::silent(size_t server) const {
-  auto it = Servers.find(server);
-  return it != Servers.end() &&
-         (it->second.Silent || domainSilent(it->second.Domain));
+  const Record *record = find(server);
+  return record && (record->Silent || Domains[record->Domain].Silent);
 }
 
 bool SilenceDetector::unreachable(size_t server) const {
-  auto it = Servers.find(server);
-  return it != Servers.end() && it->second.Silent && it->second.AttemptFailed;
+  const Record *record = find(server);
+  return record && record->Silent && record->AttemptFailed;
 }
 
 bool SilenceDetector::lost(size_t server) const {
-  auto it = Servers.find(server);
-  return it != Servers.end() && it->second.Silent &&
-         it->second.Witnessed >= Settings.LostAttempts;
+  const Record *record = find(server);
+  return record && record->Silent && record->Witnessed >= Settings.LostAttempts;
 }
 
 bool SilenceDetector::outOfReach(size_t server) const {
-  auto it = Servers.find(server);
-  if (it == Servers.end())
+  const Record *record = find(server);
+  if (!record)
     return false;
-  const Record &record = it->second;
-  if (record.Silent && record.Proved)
+  if (record->Silent && record->Proved)
     return true;
-  const DomainRecord &whole = Domains.at(record.Domain);
+  const DomainRecord &whole = Domains[record->Domain];
   return whole.Silent && whole.Proved >= Settings.DomainLimit;
 }
 
 bool SilenceDetector::domainSilent(const DomainId &domain) const {
-  auto it = Domains.find(domain);
-  return it != Domains.end() && it->second.Silent;
+  auto it = DomainById.find(domain);
+  return it != DomainById.end() && Domains[it->second].Silent;
 }
 
 std::vector<size_t> SilenceDetector::due(TimePoint now) {
   std::vector<size_t> found;
-  for (auto &[server, record] : Servers) {
-    if (!asked(record) || record.NextAttempt > now)
-      continue;
-    found.push_back(server);
-    record.AskedAt = now;
+  visitAsked([&](size_t server) {
+    if (Servers[server].NextAttempt <= now)
+      found.push_back(server);
+  });
+  for (size_t server : found) {
+    Servers[server].AskedAt = now;
     // Until the attempt ends, whichever way.
-    record.NextAttempt = now + Settings.LongestHold;
+    Servers[server].NextAttempt = now + Settings.LongestHold;
   }
   return found;
 }
@@ -275,29 +323,30 @@
     return aElsewhere != bElsewhere ? aElsewhere
                                     : a.LastReached > b.LastReached;
   };
-  auto best = Servers.end();
-  for (auto it = Servers.begin(); it != Servers.end(); ++it)
-    if (!this->asked(it->second) &&
-        (best == Servers.end() || better(it->second, best->second)))
-      best = it;
-  if (best == Servers.end())
-    return std::nullopt;
-  best->second.AskedAt = now;
-  return best->first;
+  std::optional<size_t> best;
+  for (size_t server = 0; server < Servers.size(); ++server) {
+    const Record &record = Servers[server];
+    if (record.Used && !this->asked(record) &&
+        (!best || better(record, Servers[*best])))
+      best = server;
+  }
+  if (best)
+    Servers[*best].AskedAt = now;
+  return best;
 }
 
 TimePoint SilenceDetector::nextDue() const {
   TimePoint next(Duration::max());
-  for (const auto &[server, record] : Servers)
-    if (asked(record))
-      next = std::min(next, record.NextAttempt);
+  visitAsked([&](size_t server) {
+    next = std::min(next, Servers[server].NextAttempt);
+  });
   return next;
 }
 
 size_t SilenceDetector::silentServers() const {
   return static_cast<size_t>(
-      std::count_if(Servers.begin(), Servers.end(),
-                    [](const auto &it) { return it.second.Silent; }));
+      std::count_if(Asked.begin(), Asked.end(),
+                    [this](size_t it) { return Servers[it].Silent; }));
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "Balsamrack/Core/Ids.h"
@@ -122,7 +123,8 @@
 private:
   /// What is known of one server.
   struct Record {
-    DomainId Domain;            ///< Where it stands.
+    bool Used = false;          ///< False for an index that is not followed.
+    size_t Domain = 0;          ///< Index of its domain.
     uint32_t Unanswered = 0;    ///< Callers in a row.
     uint32_t LastCaller = 0;    ///< The last of them; zero: none.
     TimePoint LastAnswer;       ///< Of it, to us.
@@ -147,17 +149,29 @@
     TimePoint LastAnswer; ///< Of any of its servers.
   };
 
-  void judgeDomain(TimePoint now, const DomainId &domain);
-  void doubtDomain(TimePoint now, const DomainId &domain, TimePoint since);
+  Record *find(size_t server);
+  const Record *find(size_t server) const;
+  void judgeDomain(TimePoint now, size_t domain);
+  void doubtDomain(TimePoint now, size_t domain, TimePoint since);
   bool settleDoubt(TimePoint now, Record &record, bool sure);
   void setProved(Record &record, bool proved);
+  void setDomainSilent(DomainRecord &whole, bool silent);
   void doubtOwnLink(TimePoint now);
 
   bool asked(const Record &record) const;
+  bool askedByItself(const Record &record) const {
+    return record.Silent || record.DoubtedSince != TimePoint{};
+  }
+  void updateAsked(size_t server);
+  template <class Visit> void visitAsked(Visit visit) const;
 
-  SilenceSettings Settings;                 ///< Limits.
-  std::map<size_t, Record> Servers;         ///< All followed.
-  std::map<DomainId, DomainRecord> Domains; ///< Of them.
+  SilenceSettings Settings;              ///< Limits.
+  std::vector<Record> Servers;           ///< By server.
+  std::vector<DomainRecord> Domains;     ///< By Record::Domain.
+  std::map<DomainId, size_t> DomainById; ///< Indices of Domains.
+  std::set<size_t> Asked; ///< Servers that are askedByItself(): due() is called
+                          ///< for each packet and must not go through all.
+  size_t SilentDomains = 0; ///< Number of Domains that are silent.
   TimePoint UnsureUntil; ///< Our own link fails attempts by chance until then.
   TimePoint LastProof;   ///< Latest time at which something was sent from here
                          ///< that has arrived at a server.
--- a/Balsamrack/Http/CurlExchange.cpp
+++ b/Balsamrack/Http/CurlExchange.cpp
@@ -36,14 +36,20 @@
 
 CurlExchange::CurlExchange(HttpCall call, HttpClient::Done done)
     : Call(std::move(call)), Report(std::move(done)),
-      Began(std::chrono::steady_clock::now()), Easy(curl_easy_init()),
-      Url("http://" + Call.To.str() + "/") {}
+      Began(std::chrono::steady_clock::now()), LastByte(Began),
+      Easy(curl_easy_init()), Url("http://" + Call.To.str() + "/") {}
 
 CurlExchange::~CurlExchange() {
   curl_easy_cleanup(Easy);
   curl_slist_free_all(Lines);
 }
 
+std::chrono::steady_clock::time_point CurlExchange::stallsAt() const {
+  if (Call.StallTimeout <= Duration(0))
+    return std::chrono::steady_clock::time_point::max();
+  return LastByte + Call.StallTimeout;
+}
+
 bool CurlExchange::prepare() {
   const Message &m = Call.Content;
   if (!Easy || Call.Timeout <= Duration(0) || m.Method.empty() ||
@@ -137,6 +143,7 @@
 
 size_t CurlExchange::onHeader(char *data, size_t size, size_t n, void *self) {
   auto &me = *static_cast<CurlExchange *>(self);
+  me.LastByte = std::chrono::steady_clock::now();
   std::string line(data, size * n);
   me.HeaderBytes += line.size();
   if (me.HeaderBytes > MaxAnswerHeaderBytes)
@@ -156,6 +163,7 @@
 
 size_t CurlExchange::onBody(char *data, size_t size, size_t n, void *self) {
   auto &me = *static_cast<CurlExchange *>(self);
+  me.LastByte = std::chrono::steady_clock::now();
   if (me.Body.size() + size * n > me.Call.MaxAnswerBytes)
     return 0;
   me.Body.append(data, size * n);
--- a/Balsamrack/Http/CurlExchange.h
+++ b/Balsamrack/Http/CurlExchange.h
@@ -26,6 +26,9 @@
   CURL *handle() const { return Easy; }
   /// The call's tag.
   uint64_t tag() const { return Call.Tag; }
+  /// When the call has stalled unless a byte comes before; the far future when
+  /// it has no StallTimeout.
+  std::chrono::steady_clock::time_point stallsAt() const;
   /// Reports the end to the one who began the call. \p code is libcurl's
   /// verdict; \p cancelled tells that we ended it. To be called once, after the
   /// handle was taken out of its loop.
@@ -46,6 +49,7 @@
   const HttpCall Call;
   const HttpClient::Done Report;
   const std::chrono::steady_clock::time_point Began;
+  std::chrono::steady_clock::time_point LastByte; ///< Of the answer; Began.
   CURL *Easy;
   curl_slist *Lines = nullptr; ///< Header lines of the request.
   std::string Url;             ///< Only its address counts.
--- a/Balsamrack/Http/HttpClient.cpp
+++ b/Balsamrack/Http/HttpClient.cpp
@@ -1,8 +1,10 @@
 #include "Balsamrack/Http/HttpClient.h"
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <mutex>
+#include <set>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -14,6 +16,8 @@
 
 namespace {
 
+using Instant = std::chrono::steady_clock::time_point;
+
 constexpr int PollMillis = 1000;
 constexpr long MaxKeptConnections = 256;
 
@@ -67,6 +71,8 @@
   void run();
   void admit(std::unique_ptr<CurlExchange> exchange);
   void reapFinished();
+  void endStalled();
+  int pollMillis() const;
   void finish(CURL *handle, CURLcode code, bool cancelled);
   template <class Which> void cancelThose(Which which);
 
@@ -74,6 +80,7 @@
   std::thread Loop;
   std::mutex StopLock; ///< Held while the thread is joined.
   std::map<CURL *, std::unique_ptr<CurlExchange>> Active; ///< Loop's own.
+  std::set<CURL *> MayStall; ///< Those of Active with a StallTimeout.
 
   std::mutex Lock; ///< Guards what follows.
   Exchanges Starts;
@@ -119,6 +126,8 @@
     return;
   }
   CURL *handle = exchange->handle();
+  if (exchange->stallsAt() != Instant::max())
+    MayStall.insert(handle);
   Active[handle] = std::move(exchange);
   curl_multi_add_handle(Multi, handle);
 }
@@ -129,6 +138,7 @@
     return;
   std::unique_ptr<CurlExchange> exchange = std::move(it->second);
   Active.erase(it);
+  MayStall.erase(handle);
   // Closes the connection of a call that is not through.
   curl_multi_remove_handle(Multi, handle);
   exchange->finish(code, cancelled);
@@ -153,6 +163,30 @@
     finish(handle, code, false);
 }
 
+void CurlClient::endStalled() {
+  if (MayStall.empty())
+    return;
+  Instant now = std::chrono::steady_clock::now();
+  std::vector<CURL *> stalled;
+  for (CURL *handle : MayStall)
+    if (now >= Active.at(handle)->stallsAt())
+      stalled.push_back(handle);
+  for (CURL *handle : stalled)
+    finish(handle, CURLE_OPERATION_TIMEDOUT, false);
+}
+
+int CurlClient::pollMillis() const {
+  using std::chrono::milliseconds;
+  milliseconds wait(PollMillis);
+  if (MayStall.empty())
+    return PollMillis;
+  Instant now = std::chrono::steady_clock::now();
+  for (CURL *handle : MayStall)
+    wait = std::min(wait, std::chrono::ceil<milliseconds>(
+                              Active.at(handle)->stallsAt() - now));
+  return std::max(0, static_cast<int>(wait.count()));
+}
+
 void CurlClient::run() {
   for (;;) {
     Wishes wishes = takeWishes();
@@ -167,9 +201,10 @@
     int running = 0;
     curl_multi_perform(Multi, &running);
     reapFinished();
+    endStalled();
     if (wishes.Stopping && Active.empty() && wishes.Starts.empty())
       return;
-    curl_multi_poll(Multi, nullptr, 0, PollMillis, nullptr);
+    curl_multi_poll(Multi, nullptr, 0, pollMillis(), nullptr);
   }
 }
 
--- a/Balsamrack/Http/HttpClient.h
+++ b/Balsamrack/Http/HttpClient.h
@@ -20,6 +20,8 @@
   Message Content;  ///< What to send; hop-by-hop fields are left out.
   Duration ConnectTimeout{500'000};  ///< For the connection.
   Duration Timeout{10'000'000};      ///< For the whole exchange.
+  Duration StallTimeout{0};          ///< Without a byte of the answer; zero:
+                                     ///< Timeout alone counts.
   uint32_t MaxAnswerBytes = 4 << 20; ///< A longer body is an error.
   bool SendOnce = true; ///< Never send it a second time, not even when a kept
                         ///< connection turns out to be dead.
--- a/Balsamrack/Membership/MemberTable.cpp
+++ b/Balsamrack/Membership/MemberTable.cpp
@@ -15,6 +15,8 @@
 /// After a domain is heard again its members get so many times the usual time
 /// to refute what was said of them while it was cut off.
 constexpr int HealSuspicions = 3;
+/// Between two looks for members to forget.
+constexpr Duration ForgetPeriod{250'000};
 
 } // namespace
 
@@ -178,6 +180,9 @@
   for (const auto &[vm, suspicion] : over)
     if (Suspicions.count(vm))
       end(now, vm, suspicion);
+  if (now < NextForget)
+    return {};
+  NextForget = now + ForgetPeriod;
   return forget(now, hints);
 }
 
--- a/Balsamrack/Membership/MemberTable.h
+++ b/Balsamrack/Membership/MemberTable.h
@@ -52,8 +52,8 @@
   bool renew(TimePoint now, const VmId &vm, Incarnation run);
   /// \p vm did not answer, nor through others. Not thread-safe.
   void suspect(TimePoint now, const VmId &vm);
-  /// Ends suspicions that are over and forgets the long dead; returns whom it
-  /// forgot. Not thread-safe.
+  /// Ends suspicions that are over and, once in a while, forgets the long dead;
+  /// returns whom it forgot. Not thread-safe.
   std::vector<VmId> expire(TimePoint now, const HintList &hints);
   /// This process did not run for \p gap: what others said meanwhile was not
   /// read, so running suspicions are prolonged by it. Not thread-safe.
@@ -103,6 +103,7 @@
   bool HeldForDead = false;                  ///< Not taken yet.
   std::optional<MemberNews> SupersededBy;    ///< Not taken yet.
   std::vector<MemberChange> Changes;         ///< Not taken yet.
+  TimePoint NextForget; ///< forget() goes through all members.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -20,6 +20,8 @@
 constexpr size_t ProvedElsewhere = 1;
 /// A proof that is newer than the last by less is not passed on.
 constexpr Duration LeastNewer{500'000};
+/// The wait before a takeover doubles so many times at most.
+constexpr size_t MostDoublings = 6;
 /// Peers that are offered a first listing.
 constexpr size_t OfferedAtStart = 2;
 /// Peers asked for news after a pause.
@@ -58,9 +60,9 @@
     return true;
   if (reads() && !young(now))
     return true;
-  Duration limit =
-      Settings.TakeoverAge + Settings.TakeoverStep * static_cast<int>(Place);
-  return now - state.ProvedAt > limit;
+  int steps = (1 << std::min(Place, MostDoublings)) - 1;
+  return now - state.ProvedAt >
+         Settings.TakeoverAge + Settings.TakeoverStep * steps;
 }
 
 Duration NewsExchange::periodOf(PublishedSection section) const {
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -26,8 +26,10 @@
   Duration TakeoverAge{2'600'000}; ///< News without such a proof for longer:
                                    ///< others read too. A watch and its way to
                                    ///< all peers fit in.
-  Duration TakeoverStep{200'000};  ///< The next one in a domain's order waits
-                                   ///< longer by this, so that few read.
+  Duration TakeoverStep{200'000};  ///< The second daemon of a domain waits
+                                   ///< longer by this, each further one by
+                                   ///< twice as much as the one before: while
+                                   ///< the service is away few ask it.
   Duration StartSpan{2'000'000};   ///< A daemon younger than this may not know
                                    ///< yet who else is there: it reads only
                                    ///< when no peer proves its state in time.
