Yield to the reader of the lowest rank, and ask an absent store by few

Change: a proof names its reader and the reader's rank; a daemon that took over yields to a lower one. While the store is away one section asks, and daemons that are not the first of their domain ask every two to eight seconds.

Tests: EachOutage.

--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -154,6 +154,8 @@
   ar("l", m.LastChange);
   ar("p", m.Present);
   ar("g", m.Age);
+  ar("b", m.Prover);
+  ar("k", m.ProverRank);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -51,9 +51,18 @@
   DomainPlace = before.size();
 }
 
+bool NewsExchange::waitsForOther(PublishedSection section) const {
+  // While the service is away one section finds out when it is back.
+  return std::any_of(AllSections.begin(), AllSections.end(),
+                     [&](PublishedSection other) {
+                       return other != section && at(other).Away &&
+                              (!at(section).Away || other < section);
+                     });
+}
+
 bool NewsExchange::wantsRead(TimePoint now, PublishedSection section) const {
   const SectionState &state = at(section);
-  if (state.Reading || now < state.NextRead)
+  if (state.Reading || now < state.NextRead || waitsForOther(section))
     return false;
   if (Store.completeAs(section) == Revision{} || state.TakenOver ||
       state.ListNext)
@@ -122,10 +131,11 @@
   if (state.Failures > 0 || state.ProvedAt == TimePoint{})
     Actions.emplace_back(SourceChanged{read.Section, true, ""});
   state.Failures = 0;
+  state.Away = false;
   state.ListNext = false;
   state.NextRead = nextReadAfter(now, read);
   if (!read.MayBeOld)
-    state.ProvedAt = now;
+    setProved(read.Section, now, Self.Id.hash(), readerRank());
   Revision before = Store.completeAs(read.Section);
   bool changed = merge(*result, VmId());
   // What a daemon lists first is no news to those that run; whoever lacks it
@@ -137,10 +147,30 @@
     spreadProof(now);
   else if (changed)
     offerDomain(now, OfferedAtStart);
-  readIfWanted(now, read.Section);
+  for (PublishedSection section : AllSections)
+    readIfWanted(now, section);
   return take();
 }
 
+void NewsExchange::setProved(PublishedSection section, TimePoint at,
+                             uint64_t prover, uint32_t rank) {
+  SectionState &state = this->at(section);
+  if (at <= state.ProvedAt)
+    return;
+  state.ProvedAt = at;
+  state.Prover = prover;
+  state.ProverRank = rank;
+}
+
+bool NewsExchange::yieldsTo(const SectionMark &theirs) const {
+  uint64_t own = Self.Id.hash();
+  if (theirs.Prover == own || theirs.Age > Settings.TakeoverAge)
+    return false;
+  uint32_t rank = readerRank();
+  return theirs.ProverRank != rank ? theirs.ProverRank < rank
+                                   : theirs.Prover < own;
+}
+
 TimePoint NewsExchange::nextReadAfter(TimePoint now,
                                       const PublishedRead &read) {
   if (!read.MayBeOld)
@@ -166,10 +196,15 @@
     Actions.emplace_back(
         SourceChanged{read.Section, false, std::string(status.message())});
   ++state.Failures;
-  Duration wait = Settings.MinBackoff;
-  for (uint32_t i = 1; i < state.Failures && wait < Settings.MaxBackoff; ++i)
+  state.Away = status.code() == absl::StatusCode::kUnavailable;
+  // The first daemon of a domain finds out for the others when the service is
+  // back.
+  bool first = Place == 0;
+  Duration most = first ? Settings.MaxBackoff : Settings.MaxBackoffOfOthers;
+  Duration wait = first ? Settings.MinBackoff : Settings.MaxBackoff;
+  for (uint32_t i = 1; i < state.Failures && wait < most; ++i)
     wait *= 2;
-  wait = std::min(wait, Settings.MaxBackoff);
+  wait = std::min(wait, most);
   // Jitter keeps daemons that lost the service together from coming back so.
   auto half = static_cast<uint64_t>(wait.count() / 2);
   state.NextRead =
@@ -183,7 +218,8 @@
     Duration age = proved == TimePoint{} ? NeverProved
                                          : std::min(now - proved, NeverProved);
     all.push_back({Store.completeAs(section), Store.lastChange(section),
-                   Store.presentHash(section), age});
+                   Store.presentHash(section), age, at(section).Prover,
+                   at(section).ProverRank});
   }
   return all;
 }
@@ -210,10 +246,10 @@
       continue;
     SectionState &state = at(section);
     TimePoint proved = now - theirs.Age;
-    if (proved > state.ProvedAt + Settings.EchoSlack)
+    if (yieldsTo(theirs))
       state.TakenOver = false;
     newer = newer || proved > state.ProvedAt + LeastNewer;
-    state.ProvedAt = std::max(state.ProvedAt, proved);
+    setProved(section, proved, theirs.Prover, theirs.ProverRank);
   }
   return newer;
 }
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -35,19 +35,20 @@
                                    ///< when no peer proves its state in time.
   Duration StartWait{300'000};     ///< It waits so long for that, and up to
                                    ///< StartSpan more, at random.
-  Duration EchoSlack{200'000}; ///< A proof that is newer than one of our own by
-                               ///< less may be our own, sent back.
-  Duration OfferPeriod{250'000};    ///< One peer is told what is held here.
-  Duration RequestPeriod{50'000};   ///< Between requests that offers give rise
-                                    ///< to: an answer takes some milliseconds.
-  Duration MinBackoff{250'000};     ///< Between reads, after a failure.
-  Duration MaxBackoff{2'000'000};   ///< After many failures.
-  Duration OperatorsPeriod{20'000}; ///< Between reads of what operators
+  Duration OfferPeriod{250'000};   ///< One peer is told what is held here.
+  Duration RequestPeriod{50'000};  ///< Between requests that offers give rise
+                                   ///< to: an answer takes some milliseconds.
+  Duration MinBackoff{250'000};    ///< Between reads, after a failure.
+  Duration MaxBackoff{2'000'000};  ///< After many failures, for the first
+                                   ///< daemon of a domain.
+  Duration MaxBackoffOfOthers{8'000'000}; ///< For the others: they are told
+                                          ///< when the service answers again.
+  Duration OperatorsPeriod{20'000};       ///< Between reads of what operators
                                     ///< publish, whatever the service answers.
-  Duration ServersPeriod{500'000};  ///< As above, of servers: a release changes
-                                    ///< several a second, and each change would
-                                    ///< cost a call of each reader. Servers
-                                    ///< drain for three seconds at least.
+  Duration ServersPeriod{500'000}; ///< As above, of servers: a release changes
+                                   ///< several a second, and each change would
+                                   ///< cost a call of each reader. Servers
+                                   ///< drain for three seconds at least.
   size_t MostTold = 64; ///< Peers of the own domain that are told of a change
                         ///< at once; more hear by offers.
   size_t AllTold = 16;  ///< A fleet up to this size is told as a whole.
@@ -128,13 +129,16 @@
 private:
   /// What is known and under way for one section.
   struct SectionState {
-    TimePoint ProvedAt;     ///< See provedAt().
-    bool Reading = false;   ///< A read is under way.
-    bool ListNext = false;  ///< The history that a watch needs is gone.
-    bool TakenOver = false; ///< Reads although it is no regular reader, until a
-                            ///< proof of another daemon's comes.
-    TimePoint NextRead;     ///< Not before.
-    uint32_t Failures = 0;  ///< In a row.
+    TimePoint ProvedAt;      ///< See provedAt().
+    uint64_t Prover = 0;     ///< As in SectionMark, of that proof.
+    uint32_t ProverRank = 0; ///< As above.
+    bool Reading = false;    ///< A read is under way.
+    bool ListNext = false;   ///< The history that a watch needs is gone.
+    bool TakenOver = false;  ///< Reads although it is no regular reader, until
+                             ///< one of a lower rank does.
+    bool Away = false;       ///< The last read failed as the service was away.
+    TimePoint NextRead;      ///< Not before.
+    uint32_t Failures = 0;   ///< In a row.
   };
 
   SectionState &at(PublishedSection section) {
@@ -146,6 +150,13 @@
   bool young(TimePoint now) const {
     return now < StartedAt + Settings.StartSpan;
   }
+  uint32_t readerRank() const {
+    return reads() ? 0 : 1 + static_cast<uint32_t>(Place);
+  }
+  void setProved(PublishedSection section, TimePoint at, uint64_t prover,
+                 uint32_t rank);
+  bool yieldsTo(const SectionMark &theirs) const;
+  bool waitsForOther(PublishedSection section) const;
   bool wantsRead(TimePoint now, PublishedSection section) const;
   Duration periodOf(PublishedSection section) const;
   void readIfWanted(TimePoint now, PublishedSection section);
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -15,6 +15,9 @@
   uint64_t Present = 0; ///< See PublishedStore::presentHash().
   Duration Age{0};      ///< Since a reader was told by the publishing service
                         ///< that nothing newer exists.
+  uint64_t Prover = 0;  ///< VmId::hash() of that reader.
+  uint32_t ProverRank = 0; ///< Zero: a regular reader; else one more than its
+                           ///< place among its domain's daemons.
 };
 
 /// Tells a peer what is held here.
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -229,5 +229,52 @@
                         }}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+/// Which daemons of a fleet the service answers.
+struct Outage {
+  const char *Name;
+  bool All; ///< It answers nobody; else it turns the regular readers away.
+};
+
+class EachOutage : public testing::TestWithParam<Outage> {};
+
+/// Calls of all daemons of a fleet in an outage of eight seconds and a release
+/// of ten after it.
+uint64_t callsInOutage(size_t domains, size_t perDomain, bool ofAll) {
+  NewsFleet fleet(domains, perDomain, 1);
+  fleet.run(Second * 8);
+  for (auto &node : fleet.Nodes) {
+    node.Calls = 0;
+    if (ofAll || node.Exchange->reads())
+      node.Reads = Source::Refuses;
+  }
+  fleet.run(Second * 8);
+  for (auto &node : fleet.Nodes)
+    node.Reads = Source::Good;
+  for (int i = 0; i < 40; ++i) {
+    fleet.serverChanges();
+    fleet.run(Second / 4);
+  }
+  uint64_t calls = 0;
+  for (const auto &node : fleet.Nodes)
+    calls += node.Calls;
+  return calls;
+}
+
+// Guards against a service that is away and is asked by every daemon of the
+// fleet, and against daemons that go on reading after it is back, kept in step
+// by a release whose changes wake all of them at once.
+TEST_P(EachOutage, CostsAFleetOfHundredsAsFewCallsAsASmallOne) {
+  uint64_t large = callsInOutage(6, 49, GetParam().All);
+  uint64_t small = callsInOutage(3, 3, GetParam().All);
+  EXPECT_LE(large, 2 * small) << small;
+}
+
+INSTANTIATE_TEST_SUITE_P(Outages, EachOutage,
+                         testing::Values(Outage{"OfAll", true},
+                                         Outage{"OfTheReaders", false}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 } // namespace
 } // namespace balsamrack
