--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Daemon/PacketTelemetry.h"
 
 #include "Balsamrack/Core/Errors.h"
+#include "Balsamrack/Peers/PeerCodec.h"
 
 namespace balsamrack {
 
@@ -33,6 +34,13 @@
 constexpr MetricFamily PeerBytes{"balsamrack_peer_bytes",
                                  "Bytes between daemons since the start.",
                                  MetricKind::Gauge};
+constexpr MetricFamily PeerMessages{
+    "balsamrack_peer_messages",
+    "Messages between daemons since the start, by type.", MetricKind::Gauge};
+constexpr MetricFamily PeerMessageBytes{
+    "balsamrack_peer_message_bytes",
+    "Bytes of messages between daemons since the start, by type.",
+    MetricKind::Gauge};
 constexpr MetricFamily Peers{"balsamrack_peers", "Other daemons that live.",
                              MetricKind::Gauge};
 constexpr MetricFamily PublishedAge{
@@ -128,6 +136,20 @@
   Numbers->set(PeerBytes, {{"direction", "received"}},
                static_cast<double>(peers.BytesReceived));
   Numbers->set(Peers, {}, static_cast<double>(live));
+  setMessages("sent", peers.SentOf);
+  setMessages("received", peers.ReceivedOf);
+}
+
+void PacketTelemetry::setMessages(const char *direction,
+                                  const MessageCounts &counts) {
+  for (size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i].Messages == 0)
+      continue;
+    MetricLabels labels{{"direction", direction}, {"type", peerMessageName(i)}};
+    Numbers->set(PeerMessages, labels, static_cast<double>(counts[i].Messages));
+    Numbers->set(PeerMessageBytes, labels,
+                 static_cast<double>(counts[i].Bytes));
+  }
 }
 
 void PacketTelemetry::setAge(PublishedSection section, Duration age) {
--- a/Balsamrack/Daemon/PacketTelemetry.h
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -46,6 +46,7 @@
   std::string prometheus() const { return Numbers->prometheus(); }
 
 private:
+  void setMessages(const char *direction, const MessageCounts &counts);
   static bool isLogged(const PacketEvent &event);
 
   EventLog &Log;
--- a/Balsamrack/Peers/DatagramPeers.cpp
+++ b/Balsamrack/Peers/DatagramPeers.cpp
@@ -58,7 +58,8 @@
 
 absl::Status DatagramPeers::send(const Address &to,
                                  const PeerMessage &message) {
-  return sendFrame(to, encodePeerMessage(message));
+  return sendFrame(to, encodePeerMessage(message),
+                   Counters.SentOf[message.index()]);
 }
 
 absl::Status DatagramPeers::sendAll(const std::vector<Address> &to,
@@ -66,12 +67,13 @@
   std::string frame = encodePeerMessage(message);
   absl::Status first;
   for (const Address &it : to)
-    first.Update(sendFrame(it, frame));
+    first.Update(sendFrame(it, frame, Counters.SentOf[message.index()]));
   return first;
 }
 
 absl::Status DatagramPeers::sendFrame(const Address &to,
-                                      const std::string &frame) {
+                                      const std::string &frame,
+                                      MessageCount &count) {
   size_t pieces =
       std::max<size_t>(1, (frame.size() + PieceBytes - 1) / PieceBytes);
   if (pieces > MostPieces)
@@ -100,6 +102,7 @@
     ++Counters.Sent;
     Counters.BytesSent += static_cast<uint64_t>(sent);
   }
+  count.add(frame.size());
   return absl::OkStatus();
 }
 
@@ -167,10 +170,12 @@
 void DatagramPeers::complete(const Address &from, const std::string &frame,
                              const Got &got) {
   auto message = decodePeerMessage(frame);
-  if (message.ok())
-    got(from, *std::move(message));
-  else
+  if (!message.ok()) {
     ++Counters.Bad;
+    return;
+  }
+  Counters.ReceivedOf[message->index()].add(frame.size());
+  got(from, *std::move(message));
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/DatagramPeers.h
+++ b/Balsamrack/Peers/DatagramPeers.h
@@ -1,11 +1,13 @@
 #ifndef BALSAMRACK_PEERS_DATAGRAMPEERS_H
 #define BALSAMRACK_PEERS_DATAGRAMPEERS_H
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "Balsamrack/Core/Address.h"
@@ -15,6 +17,21 @@
 
 namespace balsamrack {
 
+/// Messages of one type, and their bytes without heads of datagrams.
+struct MessageCount {
+  uint64_t Messages = 0; ///< Each receiver counts.
+  uint64_t Bytes = 0;    ///< As encoded.
+
+  /// Adds one message of \p bytes.
+  void add(size_t bytes) {
+    ++Messages;
+    Bytes += bytes;
+  }
+};
+/// By index in the PeerMessage variant.
+using MessageCounts =
+    std::array<MessageCount, std::variant_size_v<PeerMessage>>;
+
 /// Counts of a DatagramPeers since its start.
 struct DatagramCounters {
   uint64_t BytesSent = 0;     ///< Payload of datagrams.
@@ -23,6 +40,8 @@
   uint64_t Received = 0;      ///< As above.
   uint64_t Bad = 0;           ///< Datagrams or messages that could not be read.
   uint64_t SendFailed = 0;    ///< Datagrams that the system did not take.
+  MessageCounts SentOf;       ///< Messages sent, by type.
+  MessageCounts ReceivedOf;   ///< Whole messages that came in, by type.
 };
 
 /// Carries messages between daemons as UDP datagrams; a long message goes in
@@ -74,7 +93,8 @@
   using PendingKey = std::pair<Address, uint32_t>;
 
   explicit DatagramPeers(int fd) : Fd(fd) {}
-  absl::Status sendFrame(const Address &to, const std::string &frame);
+  absl::Status sendFrame(const Address &to, const std::string &frame,
+                         MessageCount &count);
   void take(const Address &from, const char *bytes, size_t n, const Got &got);
   void complete(const Address &from, const std::string &frame, const Got &got);
   void dropOldest();
--- a/Balsamrack/Peers/PeerCodec.cpp
+++ b/Balsamrack/Peers/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Peers/PeerCodec.h"
 
 #include <array>
+#include <cassert>
 #include <utility>
 
 #include "Balsamrack/Core/Errors.h"
@@ -75,7 +76,12 @@
 } // namespace
 
 const char *peerMessageName(const PeerMessage &message) {
-  return TypeNames[message.index()];
+  return peerMessageName(message.index());
+}
+
+const char *peerMessageName(size_t index) {
+  assert(index < TypeNames.size());
+  return TypeNames[index];
 }
 
 bool isDataMessage(const PeerMessage &message) {
--- a/Balsamrack/Peers/PeerCodec.h
+++ b/Balsamrack/Peers/PeerCodec.h
@@ -18,6 +18,9 @@
 /// Name of a message's type as it stands in a frame, such as "Ping".
 /// Thread-safe.
 const char *peerMessageName(const PeerMessage &message);
+/// As above, by index in the variant. Precondition: \p index names a type.
+/// Thread-safe.
+const char *peerMessageName(size_t index);
 
 /// True for messages that carry callers' requests and answers; all others are
 /// control traffic, for which there is a byte budget. Thread-safe.
--- a/UnitTests/Peers/DatagramPeersTest.cpp
+++ b/UnitTests/Peers/DatagramPeersTest.cpp
@@ -51,8 +51,13 @@
     ASSERT_TRUE(A->send(At[1], message).ok());
   auto got = receive(sent.size());
   ASSERT_EQ(got.size(), sent.size());
-  for (size_t i = 0; i < got.size(); ++i)
+  for (size_t i = 0; i < got.size(); ++i) {
+    size_t bytes = encodePeerMessage(sent[i]).size();
     EXPECT_EQ(encodePeerMessage(got[i]), encodePeerMessage(sent[i]));
+    EXPECT_EQ(A->counters().SentOf[i].Bytes, bytes);
+    EXPECT_EQ(B->counters().ReceivedOf[i].Bytes, bytes);
+    EXPECT_EQ(B->counters().ReceivedOf[i].Messages, 1U);
+  }
 }
 
 // Guards against a configuration of thousands of routes, none like another,
