Ask dead servers and silent domains at a rate that does not grow with the fleet

A silent domain of 100 servers was asked server by server by each daemon.

Change: five quick attempts only where requests of this daemon are in progress (or one is repeated later); else the hold grows with the fleet, up to 5 s. Of a silent domain four servers are asked at a time, in turn. All servers of a domain count as unreachable once two of them failed while it is silent, so that openings that nobody can take are refused as soon as before.

Tests: AFleetOfHundredsAsksADeadServerAsOftenAsASmallOne, AWaitingRequestIsSettledSoonInAnyFleet, ALivingServerOfALargeSilentDomainIsFound.

--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/SilenceDetector.cpp
@@ -4,6 +4,14 @@
 
 namespace balsamrack {
 
+namespace {
+
+/// The first hold of a server at which nothing waits is this part of the
+/// longest one.
+constexpr int FirstHoldPart = 4;
+
+} // namespace
+
 SilenceDetector::Record *SilenceDetector::find(size_t server) {
   return server < Servers.size() && Servers[server].Used ? &Servers[server]
                                                          : nullptr;
@@ -32,6 +40,7 @@
   if (!record)
     return;
   setProved(*record, false);
+  setAttemptFailed(*record, false);
   *record = Record();
   updateAsked(server);
 }
@@ -43,15 +52,17 @@
     Asked.erase(server);
 }
 
-template <class Visit> void SilenceDetector::visitAsked(Visit visit) const {
-  if (SilentDomains == 0) {
-    for (size_t server : Asked)
-      visit(server);
-    return;
-  }
-  for (size_t server = 0; server < Servers.size(); ++server)
-    if (Servers[server].Used && asked(Servers[server]))
-      visit(server);
+void SilenceDetector::setDaemons(size_t daemons) {
+  FleetHold = std::min(Settings.HoldPerDaemon * static_cast<int64_t>(daemons),
+                       Settings.LongestFleetHold);
+}
+
+Duration SilenceDetector::longestHold(const Record &record) const {
+  // What is found of one server of a silent domain counts for all of it, and
+  // few of them are asked.
+  return Domains[record.Domain].Silent
+             ? Settings.LongestHold
+             : std::max(Settings.LongestHold, FleetHold);
 }
 
 void SilenceDetector::setDomainSilent(DomainRecord &whole, bool silent) {
@@ -76,6 +87,13 @@
   whole.Proved += proved ? 1 : -1;
 }
 
+void SilenceDetector::setAttemptFailed(Record &record, bool failed) {
+  if (record.AttemptFailed == failed)
+    return;
+  record.AttemptFailed = failed;
+  Domains[record.Domain].Failed += failed ? 1 : -1;
+}
+
 bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
                                  uint32_t caller) {
   Record *found = find(server);
@@ -94,7 +112,7 @@
   // A server that takes connections but no openings would else be tried with
   // callers' flows again and again.
   record.Hold = relapse && record.Hold > Duration{0}
-                    ? std::min(record.Hold * 2, Settings.LongestHold)
+                    ? std::min(record.Hold * 2, longestHold(record))
                     : Settings.FirstHold;
   record.Silent = true;
   record.SilentSince = sentAt;
@@ -117,11 +135,10 @@
   if (whole.Silent || silent < Settings.DomainLimit)
     return;
   setDomainSilent(whole, true);
-  // Guards against two dead servers that take a living third one with them: it
-  // gets no openings now, so it is asked at once and speaks for its domain.
-  for (Record &record : Servers)
-    if (record.Used && record.Domain == domain && !record.Silent)
-      record.NextAttempt = now;
+  // Guards against two dead servers that take living ones with them: they get
+  // no openings now, so some are asked at once and speak for their domain.
+  whole.NextAttempts = now;
+  whole.Hold = Settings.FirstHold;
 }
 
 bool SilenceDetector::asked(const Record &record) const {
@@ -130,7 +147,14 @@
 
 void SilenceDetector::doubted(TimePoint now, size_t server, TimePoint sentAt) {
   Record *record = find(server);
-  if (!record || record->LastReached >= sentAt || asked(*record))
+  if (!record || record->LastReached >= sentAt)
+    return;
+  // A request waits for it, so it matters soon whether it is lost.
+  if (record->Silent && record->Witnessed < Settings.LostAttempts)
+    record->NextAttempt =
+        std::min(record->NextAttempt,
+                 std::max(now, record->AskedAt + Settings.FirstHold));
+  if (asked(*record))
     return;
   record->DoubtedSince = sentAt;
   record->WithDomain = false;
@@ -192,7 +216,7 @@
   }
   bool was = record.Silent;
   record.Silent = false;
-  record.AttemptFailed = false;
+  setAttemptFailed(record, false);
   record.Witnessed = 0;
   setProved(record, false);
   updateAsked(server);
@@ -218,7 +242,8 @@
   return false;
 }
 
-bool SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure) {
+bool SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure,
+                                    bool awaited) {
   Record *found = find(server);
   if (!found)
     return false;
@@ -245,12 +270,17 @@
     record.Hold = Settings.FirstHold;
   }
   record.DoubtedSince = {};
-  record.AttemptFailed = record.AttemptFailed || sure;
+  setAttemptFailed(record, record.AttemptFailed || sure);
   setProved(record, record.Proved || proved);
   // Until it is known whether its open flows are lost, it is asked quickly.
-  bool unsettled = witnessed && record.Witnessed < Settings.LostAttempts;
-  if (!unsettled)
-    record.Hold = std::min(record.Hold * 2, Settings.LongestHold);
+  bool unsettled =
+      awaited && witnessed && record.Witnessed < Settings.LostAttempts;
+  if (!unsettled) {
+    Duration longest = longestHold(record);
+    // A large fleet begins with a longer one.
+    Duration least = awaited ? Duration(0) : longest / FirstHoldPart;
+    record.Hold = std::min(std::max(record.Hold * 2, least), longest);
+  }
   record.NextAttempt = now + (unsettled ? Settings.FirstHold : record.Hold);
   updateAsked(server);
   if (!was)
@@ -275,7 +305,12 @@
 
 bool SilenceDetector::unreachable(size_t server) const {
   const Record *record = find(server);
-  return record && record->Silent && record->AttemptFailed;
+  if (!record)
+    return false;
+  if (record->Silent && record->AttemptFailed)
+    return true;
+  const DomainRecord &whole = Domains[record->Domain];
+  return whole.Silent && whole.Failed >= Settings.DomainLimit;
 }
 
 bool SilenceDetector::lost(size_t server) const {
@@ -298,17 +333,53 @@
   return it != DomainById.end() && Domains[it->second].Silent;
 }
 
+bool SilenceDetector::leftToDomain(const Record &record) const {
+  // Else a request there waits to be told whether it is lost.
+  return Domains[record.Domain].Silent && record.AttemptFailed &&
+         record.Hold > Settings.FirstHold;
+}
+
+void SilenceDetector::takeDue(TimePoint now, size_t server,
+                              std::vector<size_t> &due) {
+  Record &record = Servers[server];
+  record.AskedAt = now;
+  // Until the attempt ends, whichever way.
+  record.NextAttempt = now + Settings.LongestHold;
+  due.push_back(server);
+}
+
+void SilenceDetector::takeDueOfDomain(TimePoint now, size_t domain,
+                                      std::vector<size_t> &due) {
+  DomainRecord &whole = Domains[domain];
+  whole.NextAttempts = now + whole.Hold;
+  whole.Hold = std::min(whole.Hold * 2, Settings.LongestHold);
+  uint32_t left = Settings.DoubtedTogether;
+  // Each round goes on where the last one ended, so that the living are found.
+  size_t first = whole.LastAsked + 1;
+  for (size_t i = 0; i < Servers.size() && left > 0; ++i) {
+    size_t server = (first + i) % Servers.size();
+    const Record &record = Servers[server];
+    bool asked = record.AskedAt == now;
+    if (!record.Used || record.Domain != domain || asked)
+      continue;
+    whole.LastAsked = server;
+    takeDue(now, server, due);
+    --left;
+  }
+}
+
 std::vector<size_t> SilenceDetector::due(TimePoint now) {
   std::vector<size_t> found;
-  visitAsked([&](size_t server) {
-    if (Servers[server].NextAttempt <= now)
-      found.push_back(server);
-  });
-  for (size_t server : found) {
-    Servers[server].AskedAt = now;
-    // Until the attempt ends, whichever way.
-    Servers[server].NextAttempt = now + Settings.LongestHold;
+  for (size_t server : Asked) {
+    const Record &record = Servers[server];
+    if (!leftToDomain(record) && record.NextAttempt <= now)
+      takeDue(now, server, found);
   }
+  if (SilentDomains == 0)
+    return found;
+  for (size_t domain = 0; domain < Domains.size(); ++domain)
+    if (Domains[domain].Silent && Domains[domain].NextAttempts <= now)
+      takeDueOfDomain(now, domain, found);
   return found;
 }
 
@@ -337,9 +408,14 @@
 
 TimePoint SilenceDetector::nextDue() const {
   TimePoint next(Duration::max());
-  visitAsked([&](size_t server) {
-    next = std::min(next, Servers[server].NextAttempt);
-  });
+  for (size_t server : Asked)
+    if (!leftToDomain(Servers[server]))
+      next = std::min(next, Servers[server].NextAttempt);
+  if (SilentDomains == 0)
+    return next;
+  for (const DomainRecord &whole : Domains)
+    if (whole.Silent)
+      next = std::min(next, whole.NextAttempts);
   return next;
 }
 
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/SilenceDetector.h
@@ -24,6 +24,10 @@
   Duration FirstHold{100'000};   ///< A silent server is asked again after this.
   Duration LongestHold{800'000}; ///< The hold doubles up to this, so that a
                                  ///< server that is back is found in a second.
+  Duration HoldPerDaemon{20'000}; ///< A fleet whose daemons all ask a silent
+                                  ///< server does so this far apart...
+  Duration LongestFleetHold{5'000'000}; ///< ...but each daemon at least so
+                                        ///< often.
   Duration RelapseSpan{2'000'000}; ///< Silent again so soon after it was found
                                    ///< well: its hold goes on doubling.
   uint32_t FailedAttempts = 2; ///< Connection attempts in a row that a doubted
@@ -38,9 +42,10 @@
                                  ///< sent since arrived anywhere may fail for
                                  ///< this daemon's own link; for so long they
                                  ///< settle nothing.
-  uint32_t DoubtedTogether = 4;  ///< Others of a domain that are asked with the
-                                 ///< first; enough to judge it, and no burst
-                                 ///< where a domain has a thousand.
+  uint32_t DoubtedTogether = 4;  ///< Servers of a silent or doubted domain that
+                                 ///< are asked at a time; enough to judge it,
+                                 ///< and no burst where a domain has a
+                                 ///< thousand.
 };
 
 /// Which servers leave openings unanswered, by what this daemon itself sees.
@@ -68,6 +73,10 @@
   explicit SilenceDetector(const SilenceSettings &settings)
       : Settings(settings) {}
 
+  /// There are \p daemons in the fleet. Guards against servers that are down
+  /// and get the attempts of hundreds of daemons, each of which sends them
+  /// next to nothing.
+  void setDaemons(size_t daemons);
   /// Follows \p server, which stands in \p domain.
   void add(size_t server, const DomainId &domain);
   /// Forgets \p server.
@@ -90,14 +99,17 @@
   /// server that says nothing unless it was sent since.
   void arrived(size_t server, TimePoint sentAt);
   /// A connection attempt of ours to \p server failed. \p sure: the server
-  /// refused it or was silent; else the attempt could not be made. True when
-  /// that makes it silent.
-  bool attemptFailed(TimePoint now, size_t server, bool sure = true);
+  /// refused it or was silent; else the attempt could not be made. \p awaited:
+  /// requests of this daemon are in progress there, so that it matters soon
+  /// whether they are lost. True when that makes it silent.
+  bool attemptFailed(TimePoint now, size_t server, bool sure = true,
+                     bool awaited = true);
 
   /// True while \p server or its whole domain is silent.
   bool silent(size_t server) const;
-  /// True while \p server left callers' openings unanswered, or its domain did,
-  /// and then a connection attempt of ours too: a packet sent there is lost.
+  /// True while \p server left callers' openings unanswered, and then a
+  /// connection attempt of ours too, or its domain did and several of it were
+  /// tried: a packet sent there is lost.
   bool unreachable(size_t server) const;
   /// True while \p server is silent and left LostAttempts attempts to connect
   /// unanswered while this daemon's own link worked: what is on its way there
@@ -144,9 +156,13 @@
   };
   /// What is known of one domain.
   struct DomainRecord {
-    bool Silent = false;  ///< As a whole.
-    uint32_t Proved = 0;  ///< Servers of it that are Proved.
-    TimePoint LastAnswer; ///< Of any of its servers.
+    bool Silent = false;    ///< As a whole.
+    uint32_t Proved = 0;    ///< Servers of it that are Proved.
+    uint32_t Failed = 0;    ///< Servers of it that are AttemptFailed.
+    TimePoint LastAnswer;   ///< Of any of its servers.
+    TimePoint NextAttempts; ///< While it is silent: of a few of its servers.
+    Duration Hold{0};       ///< Between them.
+    size_t LastAsked = 0;   ///< The last of them; the next ones come after it.
   };
 
   Record *find(size_t server);
@@ -155,6 +171,7 @@
   void doubtDomain(TimePoint now, size_t domain, TimePoint since);
   bool settleDoubt(TimePoint now, Record &record, bool sure);
   void setProved(Record &record, bool proved);
+  void setAttemptFailed(Record &record, bool failed);
   void setDomainSilent(DomainRecord &whole, bool silent);
   void doubtOwnLink(TimePoint now);
 
@@ -163,7 +180,10 @@
     return record.Silent || record.DoubtedSince != TimePoint{};
   }
   void updateAsked(size_t server);
-  template <class Visit> void visitAsked(Visit visit) const;
+  bool leftToDomain(const Record &record) const;
+  Duration longestHold(const Record &record) const;
+  void takeDue(TimePoint now, size_t server, std::vector<size_t> &due);
+  void takeDueOfDomain(TimePoint now, size_t domain, std::vector<size_t> &due);
 
   SilenceSettings Settings;              ///< Limits.
   std::vector<Record> Servers;           ///< By server.
@@ -172,6 +192,7 @@
   std::set<size_t> Asked; ///< Servers that are askedByItself(): due() is called
                           ///< for each packet and must not go through all.
   size_t SilentDomains = 0; ///< Number of Domains that are silent.
+  Duration FleetHold{0};    ///< See HoldPerDaemon.
   TimePoint UnsureUntil; ///< Our own link fails attempts by chance until then.
   TimePoint LastProof;   ///< Latest time at which something was sent from here
                          ///< that has arrived at a server.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -50,6 +50,7 @@
     return;
   Daemons = daemons;
   Self = self;
+  Silence.setDaemons(daemons);
   reshare();
 }
 
@@ -347,7 +348,8 @@
   }
   bool wasLost = Silence.lost(server);
   bool sure = how == AttemptEnd::Failed;
-  if (Silence.attemptFailed(now, server, sure))
+  bool awaited = Servers.at(server).InProgress > 0;
+  if (Silence.attemptFailed(now, server, sure, awaited))
     noteSilent(server, {}, out);
   if (!wasLost && Silence.lost(server))
     giveUpStuck(out);
--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -323,6 +323,86 @@
   EXPECT_LE(most, 1U + SilenceSettings().DoubtedTogether);
 }
 
+/// Attempts of one daemon of a fleet at a dead server in ten seconds.
+size_t attemptsAtDeadServer(size_t daemons, bool awaited) {
+  SilenceDetector detector{SilenceSettings()};
+  detector.setDaemons(daemons);
+  detector.add(0, DomainId("a"));
+  detector.add(1, DomainId("b"));
+  TimePoint now{Duration(10'000'000)};
+  detector.doubted(now, 0, now);
+  size_t attempts = 0;
+  for (TimePoint end = now + Duration(10'000'000); now < end;
+       now += Duration(10'000)) {
+    detector.arrived(1, now);
+    for (size_t server : detector.due(now)) {
+      ++attempts;
+      detector.attemptFailed(now, server, true, awaited);
+    }
+  }
+  return attempts;
+}
+
+// Guards against a dead server that gets attempts in proportion to the fleet,
+// although none of its daemons has a request there.
+TEST_F(SilenceTest, AFleetOfHundredsAsksADeadServerAsOftenAsASmallOne) {
+  size_t small = 9 * attemptsAtDeadServer(9, false);
+  size_t large = 295 * attemptsAtDeadServer(295, false);
+  // Each daemon needs a first look of its own.
+  size_t firstLooks = 295 * (SilenceSettings().FailedAttempts + 3);
+  EXPECT_LE(large, 2 * small + firstLooks);
+}
+
+// Guards against a request that is in progress at a dead server and is left
+// waiting for as long as a large fleet leaves that server alone.
+TEST_F(SilenceTest, AWaitingRequestIsSettledSoonInAnyFleet) {
+  for (size_t daemons : {1, 9, 295, 610}) {
+    SilenceDetector detector{SilenceSettings()};
+    detector.setDaemons(daemons);
+    detector.add(0, DomainId("a"));
+    detector.add(1, DomainId("b"));
+    TimePoint now{Duration(10'000'000)};
+    // It fell silent while nothing waited there; a request comes two seconds
+    // later and is repeated.
+    detector.doubted(now, 0, now);
+    TimePoint began = now + Duration(2'000'000);
+    TimePoint limit = began + Duration(1'000'000);
+    for (; now < limit && !detector.lost(0); now += Duration(10'000)) {
+      detector.arrived(1, now);
+      bool awaited = now >= began;
+      if (now == began)
+        detector.doubted(now, 0, now);
+      for (size_t server : detector.due(now))
+        detector.attemptFailed(now, server, true, awaited);
+    }
+    EXPECT_TRUE(detector.lost(0)) << daemons;
+  }
+}
+
+// Guards against a silent domain whose living servers are never asked, since
+// few are asked at a time and the same ones each time.
+TEST_F(SilenceTest, ALivingServerOfALargeSilentDomainIsFound) {
+  constexpr size_t First = 100, Count = 40, Living = 137;
+  for (size_t i = First; i < First + Count; ++i)
+    Detector.add(i, DomainId("c"));
+  fallsSilent(100);
+  fallsSilent(101);
+  ASSERT_TRUE(Detector.domainSilent(DomainId("c")));
+  TimePoint end = Now + Duration(10'000'000);
+  for (; Now < end && Detector.domainSilent(DomainId("c"));
+       Now += Duration(10'000)) {
+    Detector.arrived(3, Now);
+    std::vector<size_t> due = Detector.due(Now);
+    EXPECT_LE(due.size(), 2 + SilenceSettings().DoubtedTogether);
+    for (size_t server : due)
+      if (server == Living)
+        Detector.connected(Now, server);
+      else
+        Detector.attemptFailed(Now, server, true, false);
+  }
+  EXPECT_FALSE(Detector.domainSilent(DomainId("c")));
+}
+
 // Story: a daemon has no room for one more attempt to connect. Asked for it
 // again at once, it did nothing else any more.
 TEST_F(SilenceTest, AnAttemptThatCouldNotBeMadeComesLater) {
