Be not ready as soon as every opening would be refused

Cause: a domain that was taken out and cut off refused its callers from 0.3 s on, but was not ready only after a second of proof that its own link was not to blame; callers lost all their tries to refusals meanwhile. For readiness it does not matter whose fault it is: others may serve them either way.

Change: readiness and refusal go by the same judgement.

Test, failing first: ADaemonThatRefusesEveryOpeningIsOutOfReach.

--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -90,7 +90,7 @@
   bool any = false;
   for (const auto &[id, service] : Servers.services())
     for (ServerIndex index : service.TakeNew) {
-      if (!Silence.outOfReach(index))
+      if (!Silence.unreachable(index))
         return false;
       any = true;
     }
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -197,6 +197,22 @@
   EXPECT_FALSE(bench.Router.outOfReach());
 }
 
+// Guards against callers that are refused by a daemon that can reach no server,
+// one try after the other, since the fabric still takes it for ready.
+TEST(LongFlowsTest, ADaemonThatRefusesEveryOpeningIsOutOfReach) {
+  PacketBench bench;
+  bench.usual();
+  for (uint16_t port = 1; port <= 30; ++port) {
+    bench.opens(port);
+    if (!bench.Out.Resets.empty())
+      break;
+    bench.pass(Millisecond * 60);
+    bench.attempt([](ServerIndex) { return false; });
+  }
+  ASSERT_FALSE(bench.Out.Resets.empty());
+  EXPECT_TRUE(bench.Router.outOfReach());
+}
+
 // Story: a server takes connections, but none of its callers' openings is
 // answered: it is full. Being asked after the first of them must not hide that
 // the second has no answer either.
