Let a daemon rest while it waits for the store or for its peers

Cause: PacketFleetTest.ADaemonWithoutNewsRests failed on the whole suite (0.7 s of processor time in two seconds): nextWakeup() named the time of a read that wantsRead() holds back, in two new cases: one section waits for the other while the store is away, and a young daemon does not read as a regular reader. The loop turned without pause for up to two seconds after each start.

Change: nextWakeup() leaves out what is held back.

--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -201,7 +201,7 @@
   // back.
   bool first = Place == 0;
   Duration most = first ? Settings.MaxBackoff : Settings.MaxBackoffOfOthers;
-  Duration wait = first ? Settings.MinBackoff : Settings.MaxBackoff;
+  Duration wait = first ? Settings.MinBackoff : most / 2;
   for (uint32_t i = 1; i < state.Failures && wait < most; ++i)
     wait *= 2;
   wait = std::min(wait, most);
@@ -397,12 +397,18 @@
 }
 
 TimePoint NewsExchange::nextWakeup() const {
+  // What only the age of a proof calls for is found out when an offer is due.
   TimePoint next = NextOffer;
   for (PublishedSection section : AllSections) {
     const SectionState &state = at(section);
+    if (state.Reading || waitsForOther(section))
+      continue;
     bool unknown = Store.completeAs(section) == Revision{};
-    if (!state.Reading && (unknown || reads() || state.TakenOver))
+    if (unknown || state.TakenOver || state.ListNext)
       next = std::min(next, state.NextRead);
+    else if (reads())
+      next = std::min(next,
+                      std::max(state.NextRead, StartedAt + Settings.StartSpan));
   }
   return next;
 }
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -276,5 +276,33 @@
                            return std::string(info.param.Name);
                          });
 
+/// How the service behaves while daemons start.
+struct Start {
+  const char *Name;
+  Source Reads;
+};
+
+class EachStart : public testing::TestWithParam<Start> {};
+
+// Guards against daemons that spin while they wait: for the service to come
+// back, or to know who else is there.
+TEST_P(EachStart, ADaemonRests) {
+  NewsFleet fleet(2, 2, 1);
+  for (size_t i = 0; i < fleet.Nodes.size(); ++i) {
+    fleet.Nodes[i].Reads = GetParam().Reads;
+    fleet.restart(i);
+  }
+  fleet.run(Second * 5);
+  EXPECT_EQ(fleet.RestlessTicks, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Starts, EachStart,
+                         testing::Values(Start{"Good", Source::Good},
+                                         Start{"Refuses", Source::Refuses},
+                                         Start{"Silent", Source::Silent}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/NewsFleet.h
@@ -99,8 +99,10 @@
         what();
       }
       for (size_t i = 0; i < Nodes.size(); ++i)
-        if (Nodes[i].Running && Now >= Nodes[i].Exchange->nextWakeup())
+        if (Nodes[i].Running && Now >= Nodes[i].Exchange->nextWakeup()) {
           act(i, Nodes[i].Exchange->tick(Now));
+          RestlessTicks += Nodes[i].Exchange->nextWakeup() <= Now ? 1 : 0;
+        }
     }
   }
   uint64_t versionAt(size_t i) const {
@@ -123,7 +125,8 @@
   /// Whether messages pass from one node to another; all do by default.
   std::function<bool(const Node &, const Node &)> Reaches =
       [](const Node &, const Node &) { return true; };
-  uint64_t ObjectsTold = 0; ///< In updates, by all nodes.
+  uint64_t ObjectsTold = 0;   ///< In updates, by all nodes.
+  uint64_t RestlessTicks = 0; ///< After which another one was due at once.
   uint64_t Version = 0;
   TimePoint Now{Duration(1'000'000)};
 
