--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -346,10 +346,12 @@
 // Guards against a dead server that gets attempts in proportion to the fleet,
 // although none of its daemons has a request there.
 TEST_F(SilenceTest, AFleetOfHundredsAsksADeadServerAsOftenAsASmallOne) {
-  size_t small = 9 * attemptsAtDeadServer(9, false);
-  size_t large = 295 * attemptsAtDeadServer(295, false);
+  constexpr size_t Small = 9, Large = 295;
+  size_t small = Small * attemptsAtDeadServer(Small, false);
+  size_t large = Large * attemptsAtDeadServer(Large, false);
   // Each daemon needs a first look of its own.
-  size_t firstLooks = 295 * (SilenceSettings().FailedAttempts + 3);
+  constexpr size_t FirstLook = 5;
+  size_t firstLooks = Large * FirstLook;
   EXPECT_LE(large, 2 * small + firstLooks);
 }
 
