Tell the fleet what a listing changed, not the listing

The store drops its history there in a release (seconds 7 to 10): a reader lists instead of watching, and each listing with a change in it went whole, 600 servers, to 64 + 10 peers and through the relays, over links of 20 Mbit/s. It did so before too, to half as many.

Change: the changed objects are sent, as a list that completes nobody by itself; the hash of all objects, which comes with it, completes whoever holds the same. A gap is looked for after that hash.

Ruled out: sending a list of changes since the last revision that was held. A listing does not tell what came and went in between, so a holder of such an object would keep it for good.

--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/NewsExchange.cpp
@@ -137,15 +137,17 @@
   if (!read.MayBeOld)
     setProved(read.Section, now, Self.Id.hash(), readerRank());
   Revision before = Store.completeAs(read.Section);
-  bool changed = merge(*result, VmId());
+  std::vector<PublishedObject> changed = merge(*result, VmId());
   // What a daemon lists first is no news to those that run; whoever lacks it
   // asks. Told to all, it would cost each daemon of a fleet that starts two
   // dozen copies of everything.
-  if (changed && before != Revision{})
-    tellFleet(now, Store.changesAfter(read.Section, before));
+  if (!changed.empty() && before != Revision{})
+    tellFleet(now, read.After == Revision{}
+                       ? changesOfListing(read.Section, std::move(changed))
+                       : Store.changesAfter(read.Section, before));
   else if (!read.MayBeOld)
     spreadProof(now);
-  else if (changed)
+  else if (!changed.empty())
     offerDomain(now, OfferedAtStart);
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
@@ -171,6 +173,17 @@
                                    : theirs.Prover < own;
 }
 
+PublishedChanges
+NewsExchange::changesOfListing(PublishedSection section,
+                               std::vector<PublishedObject> changed) const {
+  // Guards against a publishing service that drops its history in a release:
+  // each listing in place of a watch would go to the whole fleet as it is. A
+  // list that begins where it ends completes nobody; the hash of all objects,
+  // which comes with it, does.
+  Revision as = Store.completeAs(section);
+  return {section, as, as, std::move(changed)};
+}
+
 TimePoint NewsExchange::nextReadAfter(TimePoint now,
                                       const PublishedRead &read) {
   if (!read.MayBeOld)
@@ -297,12 +310,13 @@
 std::vector<NewsAction> NewsExchange::told(TimePoint now, const EntryVm &from,
                                            const PublishedUpdate &update) {
   bool changed = false;
-  bool gap = false;
-  for (const PublishedChanges &changes : update.Changes) {
-    gap = gap || changes.After > Store.completeAs(changes.Section);
-    changed = merge(changes, from.Id) || changed;
-  }
+  for (const PublishedChanges &changes : update.Changes)
+    changed = !merge(changes, from.Id).empty() || changed;
   takeMarks(now, update.Marks);
+  bool gap = std::any_of(update.Changes.begin(), update.Changes.end(),
+                         [this](const PublishedChanges &it) {
+                           return it.As > Store.completeAs(it.Section);
+                         });
   if (gap)
     send({from}, request());
   if (changed && !update.Relayed && from.Domain != Self.Domain) {
@@ -314,12 +328,12 @@
   return take();
 }
 
-bool NewsExchange::merge(const PublishedChanges &changes, const VmId &from) {
+std::vector<PublishedObject>
+NewsExchange::merge(const PublishedChanges &changes, const VmId &from) {
   std::vector<PublishedObject> changed = Store.merge(changes);
-  if (changed.empty())
-    return false;
-  Actions.emplace_back(NewsChanged{changes.Section, std::move(changed), from});
-  return true;
+  if (!changed.empty())
+    Actions.emplace_back(NewsChanged{changes.Section, changed, from});
+  return changed;
 }
 
 std::vector<EntryVm> NewsExchange::pick(bool ownDomain, size_t most) {
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/NewsExchange.h
@@ -167,7 +167,10 @@
   bool takeMarks(TimePoint now, const std::vector<SectionMark> &marks);
   TimePoint nextReadAfter(TimePoint now, const PublishedRead &read);
   bool lacks(const std::vector<SectionMark> &theirs) const;
-  bool merge(const PublishedChanges &changes, const VmId &from);
+  std::vector<PublishedObject> merge(const PublishedChanges &changes,
+                                     const VmId &from);
+  PublishedChanges changesOfListing(PublishedSection section,
+                                    std::vector<PublishedObject> changed) const;
   void tellDomain(const PublishedUpdate &update);
   void tellFleet(TimePoint now, PublishedChanges changes);
   void offerTo(TimePoint now, const EntryVm &peer, bool answer);
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -276,6 +276,30 @@
                            return std::string(info.param.Name);
                          });
 
+// Guards against a service that drops its history in a release: each listing
+// that takes the place of a watch went to the whole fleet as it was.
+TEST(NewsExchangeTest, AListingAfterALostHistoryTellsWhatChanged) {
+  constexpr int Servers = 200, Changes = 8;
+  NewsFleet fleet(4, 8, 1);
+  for (int i = 0; i < Servers; ++i)
+    fleet.serverChanges("i-" + std::to_string(i));
+  fleet.run(Second * 6);
+  fleet.ObjectsTold = 0;
+  fleet.HistoryDropped = true;
+  for (int i = 0; i < Changes; ++i) {
+    fleet.serverChanges("i-" + std::to_string(i));
+    fleet.run(Second / 2);
+  }
+  fleet.HistoryDropped = false;
+  fleet.run(Second * 3);
+  // Two readers, and a copy from each of two relays of a domain.
+  EXPECT_LE(fleet.ObjectsTold, 2U * 2 * 2 * Changes * fleet.Nodes.size());
+  for (const auto &node : fleet.Nodes)
+    EXPECT_EQ(node.Exchange->store().presentHash(PublishedSection::Servers),
+              fleet.Nodes[0].Exchange->store().presentHash(
+                  PublishedSection::Servers));
+}
+
 /// How the service behaves while daemons start.
 struct Start {
   const char *Name;
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/NewsFleet.h
@@ -78,15 +78,15 @@
     answerWatches();
   }
   /// A server publishes a change.
-  void serverChanges() {
+  void serverChanges(const std::string &id = "i-1") {
     auto made = std::make_shared<PublishedServer>();
-    made->Server.Id = ServerId("i-1");
+    made->Server.Id = ServerId(id);
     Revisions += 3;
     Truth.merge({PublishedSection::Servers,
                  {Revisions - 3},
                  {Revisions},
                  {{PublishedSection::Servers,
-                   "i-1",
+                   id,
                    {Revisions},
                    std::shared_ptr<const PublishedServer>(made)}}});
     answerWatches();
@@ -125,8 +125,9 @@
   /// Whether messages pass from one node to another; all do by default.
   std::function<bool(const Node &, const Node &)> Reaches =
       [](const Node &, const Node &) { return true; };
-  uint64_t ObjectsTold = 0;   ///< In updates, by all nodes.
-  uint64_t RestlessTicks = 0; ///< After which another one was due at once.
+  bool HistoryDropped = false; ///< No watch can be answered any more.
+  uint64_t ObjectsTold = 0;    ///< In updates, by all nodes.
+  uint64_t RestlessTicks = 0;  ///< After which another one was due at once.
   uint64_t Version = 0;
   TimePoint Now{Duration(1'000'000)};
 
@@ -198,6 +199,11 @@
     ++Nodes[i].Calls;
     Nodes[i].Watches += read.After == Revision{} ? 0 : 1;
     auto watch = std::make_shared<Watch>(Watch{i, Lives, read});
+    if (HistoryDropped && read.After != Revision{}) {
+      after(Duration(4'000),
+            [this, watch] { end(*watch, absl::OutOfRangeError("410")); });
+      return;
+    }
     if (Nodes[i].Reads == Source::Refuses) {
       after(Duration(4'000),
             [this, watch] { end(*watch, absl::UnavailableError("503")); });
