--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -280,6 +280,8 @@
 // that takes the place of a watch went to the whole fleet as it was.
 TEST(NewsExchangeTest, AListingAfterALostHistoryTellsWhatChanged) {
   constexpr int Servers = 200, Changes = 8;
+  // Two readers, and a copy from each of two relays of a domain.
+  constexpr size_t CopiesOfAll = 2 * 2 * 2;
   NewsFleet fleet(4, 8, 1);
   for (int i = 0; i < Servers; ++i)
     fleet.serverChanges("i-" + std::to_string(i));
@@ -292,8 +294,7 @@
   }
   fleet.HistoryDropped = false;
   fleet.run(Second * 3);
-  // Two readers, and a copy from each of two relays of a domain.
-  EXPECT_LE(fleet.ObjectsTold, 2U * 2 * 2 * Changes * fleet.Nodes.size());
+  EXPECT_LE(fleet.ObjectsTold, CopiesOfAll * Changes * fleet.Nodes.size());
   for (const auto &node : fleet.Nodes)
     EXPECT_EQ(node.Exchange->store().presentHash(PublishedSection::Servers),
               fleet.Nodes[0].Exchange->store().presentHash(
