--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -280,8 +280,8 @@
 // that takes the place of a watch went to the whole fleet as it was.
 TEST(NewsExchangeTest, AListingAfterALostHistoryTellsWhatChanged) {
   constexpr int Servers = 200, Changes = 8;
-  // Two readers, and a copy from each of two relays of a domain.
-  constexpr size_t CopiesOfAll = 2 * 2 * 2;
+  // Two readers, each to two relays of a domain, and twice for answers.
+  constexpr size_t CopiesOfAll = 8;
   NewsFleet fleet(4, 8, 1);
   for (int i = 0; i < Servers; ++i)
     fleet.serverChanges("i-" + std::to_string(i));
