--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/NewsExchangeTest.cpp
@@ -58,6 +58,18 @@
                                 if (f.Nodes[i].Exchange->reads())
                                   f.kill(i);
                             }},
+                    Trouble{"TheReadersAreTurnedAway",
+                            [](NewsFleet &f) {
+                              for (auto &node : f.Nodes)
+                                if (node.Exchange->reads())
+                                  node.Reads = Source::Refuses;
+                            }},
+                    Trouble{"TheReadersHearNothing",
+                            [](NewsFleet &f) {
+                              for (auto &node : f.Nodes)
+                                if (node.Exchange->reads())
+                                  node.Reads = Source::Silent;
+                            }},
                     Trouble{"OneIsCutOffFromItsPeers",
                             [](NewsFleet &f) { f.Nodes[0].CutOff = true; }}),
     [](const auto &info) { return std::string(info.param.Name); });
