--- a/Balsamrack/Configuration/ConfigurationMessages.h
+++ b/Balsamrack/Configuration/ConfigurationMessages.h
@@ -23,8 +23,8 @@
       BucketHashes; ///< Order-free hash of each bucket; empty: send all.
 };
 
-/// Objects that the asker lacks, or news of a fresh ticket; merged by number,
-/// so repeats do no harm.
+/// Objects that the asker lacks, or updates of a fresh ticket; merged by
+/// number, so repeats do no harm.
 struct StateUpdate {
   StateDigest Held;                 ///< What the sender holds.
   std::vector<ObjectState> Objects; ///< Objects of the buckets that differ; may
--- a/Balsamrack/Configuration/ObjectState.h
+++ b/Balsamrack/Configuration/ObjectState.h
@@ -31,7 +31,7 @@
 };
 
 /// The whole state of one object under one ticket. Deletion is a state too, so
-/// that it can't be undone by old news.
+/// that it can't be undone by old updates.
 struct ObjectState {
   ObjectKey Key;       ///< Which object.
   TicketNumber Ticket; ///< The ticket that gave it this state.
--- a/Balsamrack/Daemon/ControlPart.cpp
+++ b/Balsamrack/Daemon/ControlPart.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A view costs a pass over all servers, so that a burst of membership news is
-/// gathered for this long. Changes of configuration don't wait.
+/// A view costs a pass over all servers, so that a burst of membership updates
+/// is gathered for this long. Changes of configuration don't wait.
 constexpr Duration ViewPeriod{50'000};
 /// A peer that holds more is asked no more often than this.
 constexpr Duration AskStatePeriod{200'000};
@@ -218,8 +218,8 @@
   report.Authority = Fence.state(now);
   report.Leaving = Leaving;
   for (const auto &[id, member] : report.Members)
-    report.Reachable[member.News.Vm.Domain] =
-        Members->domainReachable(member.News.Vm.Domain);
+    report.Reachable[member.Record.Vm.Domain] =
+        Members->domainReachable(member.Record.Vm.Domain);
   return report;
 }
 
@@ -337,7 +337,7 @@
   if (const auto holder = Ownership->holderOf(server.Id)) {
     const auto it = Members->members().find(*holder);
     if (it != Members->members().end())
-      return it->second.News.Vm;
+      return it->second.Record.Vm;
   }
   return map.ownerOf(server.Id, server.Domain).value_or(EntryVm());
 }
@@ -359,10 +359,10 @@
 GuardianView ControlPart::guardians(TimePoint now) const {
   GuardianView view;
   for (const auto &[id, member] : Members->members()) {
-    if (member.News.State == MemberState::Dead ||
-        member.News.State == MemberState::Left)
+    if (member.Record.State == MemberState::Dead ||
+        member.Record.State == MemberState::Left)
       continue;
-    view.Members.push_back(member.News.Vm);
+    view.Members.push_back(member.Record.Vm);
     if (id != Settings.Self.Id && !member.live())
       view.Unreachable.push_back(id);
   }
--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -155,7 +155,7 @@
 }
 
 absl::Status Daemon::openPorts() {
-  // Before peers can be heard: their news opens callers' ports.
+  // Before peers can be heard: their updates open callers' ports.
   CallerPortSettings callers;
   callers.Ip = Values.Callers.Ip;
   callers.MaxBodyBytes = Values.Callers.MaxBodyBytes;
--- a/Balsamrack/Daemon/OperatorPart.cpp
+++ b/Balsamrack/Daemon/OperatorPart.cpp
@@ -21,7 +21,7 @@
 const char *memberStateName(const MemberView &member) {
   if (member.Unreachable)
     return "unreachable";
-  switch (member.News.State) {
+  switch (member.Record.State) {
   case MemberState::Alive:
     return "alive";
   case MemberState::Suspect:
@@ -84,10 +84,10 @@
   json members = json::array();
   for (const auto &[id, member] : control.Members)
     members.push_back({{"vm", id.str()},
-                       {"failure_domain", member.News.Vm.Domain.str()},
-                       {"address", member.News.Vm.PeerAt.str()},
+                       {"failure_domain", member.Record.Vm.Domain.str()},
+                       {"address", member.Record.Vm.PeerAt.str()},
                        {"state", memberStateName(member)},
-                       {"run", member.News.Run.Value}});
+                       {"run", member.Record.Run.Value}});
   json domains = json::array();
   for (const auto &[id, domain] : view->domains()) {
     const auto it = control.Reachable.find(id);
--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -35,7 +35,7 @@
 }
 
 /// Orders the lives of a VM that keeps nothing. A time of day that goes back is
-/// noticed by the peers (NewsPart).
+/// noticed by the peers (StatePart).
 Incarnation newRun() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
   return {static_cast<uint64_t>(
@@ -61,8 +61,8 @@
     ReadyPort->stop();
   if (MetricsPort)
     MetricsPort->stop();
-  if (News)
-    News->stop();
+  if (State)
+    State->stop();
   Given.Source.cancelAll();
   if (Lane)
     Lane->stop();
@@ -82,15 +82,15 @@
   router.MaxFlows = Settings.MaxFlows;
   Lane = std::make_unique<PacketLane>(router, Given.Codec, *std::move(socket),
                                       Given.Time, seed, Watch, [this] {
-                                        if (News)
-                                          News->woke();
+                                        if (State)
+                                          State->requestAfterPause();
                                       });
-  auto news = NewsPart::create(Settings.self(), Settings.seedPeers(), run,
-                               seed + 1, *std::move(peers), Given.Source,
-                               Given.Time, Watch, *this);
-  if (!news.ok())
-    return news.status();
-  News = *std::move(news);
+  auto state = StatePart::create(Settings.self(), Settings.seedPeers(), run,
+                                 seed + 1, *std::move(peers), Given.Source,
+                                 Given.Time, Watch, *this);
+  if (!state.ok())
+    return state.status();
+  State = *std::move(state);
   auto ready =
       HttpListener::create(portAt(Settings.Ready),
                            [this](const std::string &, const Message &message) {
@@ -145,13 +145,13 @@
                     "reloaded")
                 .number("seeds", settings.Seeds.size())
                 .flag("needs_restart", !fixed));
-  News->addSeeds(settings.seedPeers());
+  State->addSeeds(settings.seedPeers());
 }
 
 void PacketDaemon::shutDown() {
   Leaving = true;
   Watch.log(LogLine(Part::Daemon, Severity::Info, "leaving"));
-  News->leave();
+  State->leave();
   TimePoint began = Given.Time.now();
   TimePoint last = began + std::max(Settings.Grace - EndMargin, Duration{0});
   TimePoint quietSince = began;
--- a/Balsamrack/Daemon/PacketDaemon.h
+++ b/Balsamrack/Daemon/PacketDaemon.h
@@ -4,9 +4,9 @@
 #include <atomic>
 #include <memory>
 
-#include "Balsamrack/Daemon/NewsPart.h"
 #include "Balsamrack/Daemon/PacketLane.h"
 #include "Balsamrack/Daemon/PacketOperatorPart.h"
+#include "Balsamrack/Daemon/StatePart.h"
 #include "Balsamrack/Http/HttpListener.h"
 #include "Balsamrack/Settings/PacketSettings.h"
 
@@ -14,7 +14,7 @@
 
 /// The daemon of an entry VM on a packet carrier: takes callers' packets and
 /// passes them straight to backend servers. Public methods are thread-safe.
-class PacketDaemon final : private NewsListener {
+class PacketDaemon final : private StateListener {
 public:
   /// What the daemon is given by its program.
   struct Parts {
@@ -56,7 +56,7 @@
   std::atomic<bool> Leaving{false};
   std::atomic<bool> HasRoutes{false};
   std::unique_ptr<PacketLane> Lane;
-  std::unique_ptr<NewsPart> News;
+  std::unique_ptr<StatePart> State;
   std::unique_ptr<HttpListener> ReadyPort;
   std::unique_ptr<PacketOperatorPart> Operators;
   std::unique_ptr<OperatorPort> MetricsPort;
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -45,8 +45,8 @@
   static constexpr Duration MostWait{250'000};
   /// A loop that is later than this was paused: the process was frozen.
   static constexpr Duration PauseLimit{1'000'000};
-  /// After a pause openings wait for news no longer than this: callers send a
-  /// copy after 200 ms, and old news serve better than none.
+  /// After a pause openings wait for updates no longer than this: callers send
+  /// a copy after 200 ms, and old updates serve better than none.
   static constexpr Duration StaleLimit{150'000};
 
   /// Called on the lane's thread when it finds that it was paused.
@@ -65,7 +65,7 @@
   void setRoutes(std::shared_ptr<const PacketRoutes> routes);
   /// See PacketRouter.
   void setFleet(size_t daemons, size_t self);
-  /// News have come since the last pause.
+  /// Updates have come since the last pause.
   void setFresh();
   /// See PacketRouter.
   FlowExplanation explain(const FlowKey &key);
--- a/Balsamrack/Daemon/NewsPart.cpp
+++ b/Balsamrack/Daemon/StatePart.cpp
@@ -1,4 +1,4 @@
-#include "Balsamrack/Daemon/NewsPart.h"
+#include "Balsamrack/Daemon/StatePart.h"
 
 #include <poll.h>
 
@@ -21,8 +21,8 @@
 constexpr Duration UpdatePeriod{100'000};
 
 /// Times for daemons that own nothing: membership only says who may be told of
-/// news and how many share the load, so hints are tried sooner and there is no
-/// lease to keep.
+/// updates and how many share the load, so hints are tried sooner and there is
+/// no lease to keep.
 MembershipSettings packetMembership() {
   MembershipSettings settings;
   settings.HintRetryMax = Duration(4'000'000);
@@ -31,19 +31,19 @@
   settings.StartPeriod = Duration(100'000);
   settings.StartSpan = Duration(2'000'000);
   // A small fleet's whole table fits into one message.
-  settings.NewsBytes = 1'200;
+  settings.GossipBytes = 1'200;
   return settings;
 }
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<NewsPart>>
-NewsPart::create(const EntryVm &self, const std::vector<EntryVm> &seeds,
-                 Incarnation run, uint64_t seed,
-                 std::unique_ptr<DatagramPeers> peers, PublishedSource &source,
-                 const Clock &clock, PacketTelemetry &telemetry,
-                 NewsListener &listener) {
-  std::unique_ptr<NewsPart> part(new NewsPart(
+absl::StatusOr<std::unique_ptr<StatePart>>
+StatePart::create(const EntryVm &self, const std::vector<EntryVm> &seeds,
+                  Incarnation run, uint64_t seed,
+                  std::unique_ptr<DatagramPeers> peers, PublishedSource &source,
+                  const Clock &clock, PacketTelemetry &telemetry,
+                  StateListener &listener) {
+  std::unique_ptr<StatePart> part(new StatePart(
       self, run, seed, std::move(peers), source, clock, telemetry, listener));
   part->Seeds = seeds;
   absl::Status status = part->startMembership();
@@ -53,18 +53,18 @@
   return part;
 }
 
-NewsPart::NewsPart(const EntryVm &self, Incarnation run, uint64_t seed,
-                   std::unique_ptr<DatagramPeers> peers,
-                   PublishedSource &source, const Clock &clock,
-                   PacketTelemetry &telemetry, NewsListener &listener)
+StatePart::StatePart(const EntryVm &self, Incarnation run, uint64_t seed,
+                     std::unique_ptr<DatagramPeers> peers,
+                     PublishedSource &source, const Clock &clock,
+                     PacketTelemetry &telemetry, StateListener &listener)
     : Self(self), Run(run), Random(seed), Peers(std::move(peers)),
       Source(source), Time(clock), Watch(telemetry), Listener(listener),
       Tasks(std::make_shared<TaskQueue>()),
-      Exchange(NewsSettings(), self, Random) {}
+      Exchange(StateExchangeSettings(), self, Random) {}
 
-NewsPart::~NewsPart() { stop(); }
+StatePart::~StatePart() { stop(); }
 
-absl::Status NewsPart::startMembership() {
+absl::Status StatePart::startMembership() {
   auto members =
       Membership::create(packetMembership(), Self, Run, Random.next());
   if (!members.ok())
@@ -73,7 +73,7 @@
   return absl::OkStatus();
 }
 
-void NewsPart::stop() {
+void StatePart::stop() {
   if (Stopping.exchange(true))
     return;
   Tasks->post([](TimePoint) {});
@@ -82,26 +82,26 @@
   Tasks->close();
 }
 
-void NewsPart::addSeeds(const std::vector<EntryVm> &seeds) {
+void StatePart::addSeeds(const std::vector<EntryVm> &seeds) {
   Tasks->post([this, seeds](TimePoint now) {
     Seeds = seeds;
     stepMembership(now, balsamrack::Seeds{seeds});
   });
 }
 
-void NewsPart::woke() {
+void StatePart::requestAfterPause() {
   Tasks->post([this](TimePoint now) {
-    AwaitsNews = true;
-    onNews(now, Exchange.woke(now));
+    AwaitsRefresh = true;
+    runExchange(now, Exchange.requestAfterPause(now));
   });
 }
 
-void NewsPart::leave() {
+void StatePart::leave() {
   Tasks->post(
       [this](TimePoint now) { stepMembership(now, MembershipLeaving{}); });
 }
 
-void NewsPart::wait() {
+void StatePart::wait() {
   pollfd polled[] = {{Peers->fd(), POLLIN, 0}, {Tasks->fd(), POLLIN, 0}};
   TimePoint now = Time.now();
   TimePoint until =
@@ -117,7 +117,7 @@
        static_cast<int>((micros + MicrosPerMilli - 1) / MicrosPerMilli));
 }
 
-void NewsPart::run() {
+void StatePart::run() {
   stepMembership(Time.now(), balsamrack::Seeds{Seeds});
   while (!Stopping) {
     TimePoint now = Time.now();
@@ -128,7 +128,7 @@
     });
     stepMembership(now, MembershipTicked{});
     publishMembers(now);
-    onNews(now, Exchange.tick(now));
+    runExchange(now, Exchange.tick(now));
     publishRoutes(now);
     publishFigures(now);
     wait();
@@ -136,16 +136,16 @@
   stepMembership(Time.now(), MembershipLeft{});
 }
 
-EntryVm NewsPart::senderOf(const Address &from) const {
+EntryVm StatePart::senderOf(const Address &from) const {
   VmId id(from.Ip);
   auto it = Members->members().find(id);
   if (it != Members->members().end())
-    return it->second.News.Vm;
+    return it->second.Record.Vm;
   return EntryVm{id, DomainId(), from, false};
 }
 
-void NewsPart::received(TimePoint now, const Address &from,
-                        PeerMessage message) {
+void StatePart::received(TimePoint now, const Address &from,
+                         PeerMessage message) {
   EntryVm sender = senderOf(from);
   if (auto *ping = std::get_if<Ping>(&message)) {
     stepMembership(now, MessageReceived{ping->Sender.Vm, std::move(*ping)});
@@ -155,52 +155,52 @@
     if (sender.Id == ack->Sender.Vm.Id)
       sender = ack->Sender.Vm;
     stepMembership(now, MessageReceived{sender, std::move(*ack)});
-  } else if (const auto *offer = std::get_if<PublishedOffer>(&message)) {
-    newsCame();
-    onNews(now, Exchange.offered(now, sender, *offer));
+  } else if (const auto *offer = std::get_if<PublishedDigest>(&message)) {
+    noteRefreshed();
+    runExchange(now, Exchange.handleDigest(now, sender, *offer));
   } else if (const auto *asked = std::get_if<PublishedRequest>(&message)) {
-    onNews(now, Exchange.asked(now, sender, *asked));
+    runExchange(now, Exchange.handleRequest(now, sender, *asked));
   } else if (const auto *update = std::get_if<PublishedUpdate>(&message)) {
-    newsCame();
-    onNews(now, Exchange.told(now, sender, *update));
+    noteRefreshed();
+    runExchange(now, Exchange.handleUpdate(now, sender, *update));
   }
 }
 
-void NewsPart::newsCame() {
-  if (std::exchange(AwaitsNews, false))
+void StatePart::noteRefreshed() {
+  if (std::exchange(AwaitsRefresh, false))
     Listener.refreshed();
 }
 
-void NewsPart::stepMembership(TimePoint now, const MembershipEvent &event) {
+void StatePart::stepMembership(TimePoint now, const MembershipEvent &event) {
   for (const MembershipAction &it : Members->step(now, event))
     onMembership(it);
 }
 
-void NewsPart::onMembership(const MembershipAction &action) {
+void StatePart::onMembership(const MembershipAction &action) {
   if (const auto *to = std::get_if<SendTo>(&action)) {
     std::visit([&](const auto &content) { send(to->To, content); },
                to->Content);
   } else if (const auto *changed = std::get_if<MemberChanged>(&action)) {
     static const char *const names[] = {"alive", "suspect", "dead", "left"};
-    const MemberNews &news = changed->News;
+    const MemberRecord &record = changed->Record;
     Watch.log(LogLine(Part::Membership, Severity::Info, "member-changed")
-                  .text("vm", news.Vm.Id.str())
-                  .text("domain", news.Vm.Domain.str())
-                  .text("state", names[static_cast<size_t>(news.State)])
+                  .text("vm", record.Vm.Id.str())
+                  .text("domain", record.Vm.Domain.str())
+                  .text("state", names[static_cast<size_t>(record.State)])
                   .flag("unreachable", changed->Unreachable)
-                  .flag("leaving", news.Vm.Leaving)
-                  .number("run", news.Run.Value));
+                  .flag("leaving", record.Vm.Leaving)
+                  .number("run", record.Run.Value));
     MembersDue = true;
   } else if (const auto *later = std::get_if<Superseded>(&action)) {
     // Peers still hold a life of this VM whose number is higher: the time of
     // day, from which the number was taken, has gone back. There is one
     // process at an address, so this one takes the next number.
-    Incarnation next{later->News.Run.Value + 1};
+    Incarnation next{later->Record.Run.Value + 1};
     Tasks->post([this, next](TimePoint at) { restartAs(at, next); });
   }
 }
 
-void NewsPart::restartAs(TimePoint now, Incarnation run) {
+void StatePart::restartAs(TimePoint now, Incarnation run) {
   if (run <= Run)
     return;
   Run = run;
@@ -213,7 +213,7 @@
   MembersDue = true;
 }
 
-void NewsPart::publishMembers(TimePoint now) {
+void StatePart::publishMembers(TimePoint now) {
   if (!MembersDue || now < NextMembers)
     return;
   MembersDue = false;
@@ -221,7 +221,7 @@
   std::vector<EntryVm> peers;
   std::vector<std::pair<DomainId, VmId>> order;
   for (const auto &[id, member] : Members->members()) {
-    const EntryVm &vm = member.News.Vm;
+    const EntryVm &vm = member.Record.Vm;
     if (!member.live())
       continue;
     if (id != Self.Id)
@@ -239,14 +239,14 @@
                           static_cast<size_t>(self - order.begin()));
 }
 
-void NewsPart::send(const EntryVm &to, const PeerMessage &message) {
+void StatePart::send(const EntryVm &to, const PeerMessage &message) {
   absl::Status status = Peers->send(to.PeerAt, message);
   if (!status.ok())
     Watch.failed(Part::Peers, "send-failed", status);
 }
 
-void NewsPart::sendAll(const std::vector<EntryVm> &to,
-                       const PeerMessage &message) {
+void StatePart::sendAll(const std::vector<EntryVm> &to,
+                        const PeerMessage &message) {
   std::vector<Address> addresses;
   addresses.reserve(to.size());
   for (const EntryVm &it : to)
@@ -256,14 +256,15 @@
     Watch.failed(Part::Peers, "send-failed", status);
 }
 
-void NewsPart::onNews(TimePoint now, const std::vector<NewsAction> &actions) {
-  for (const NewsAction &action : actions) {
-    if (const auto *to = std::get_if<SendNews>(&action)) {
+void StatePart::runExchange(TimePoint now,
+                            const std::vector<StateExchangeAction> &actions) {
+  for (const StateExchangeAction &action : actions) {
+    if (const auto *to = std::get_if<SendStateMessage>(&action)) {
       std::visit([&](const auto &what) { sendAll(to->To, what); }, to->What);
-    } else if (const auto *read = std::get_if<ReadNews>(&action)) {
+    } else if (const auto *read = std::get_if<StartRead>(&action)) {
       startRead(read->What);
-    } else if (const auto *changed = std::get_if<NewsChanged>(&action)) {
-      newsChanged(now, *changed);
+    } else if (const auto *changed = std::get_if<StateChanged>(&action)) {
+      handleStateChange(now, *changed);
     } else if (const auto *source = std::get_if<SourceChanged>(&action)) {
       Watch.log(LogLine(Part::Platform,
                         source->Good ? Severity::Info : Severity::Warning,
@@ -275,7 +276,7 @@
   Complete = Exchange.store().complete();
 }
 
-void NewsPart::startRead(const PublishedRead &read) {
+void StatePart::startRead(const PublishedRead &read) {
   // The answer may come after this part has ended; then the queue is closed,
   // and the task, with its pointer to this part, is never run.
   auto done = [this, read,
@@ -287,15 +288,15 @@
   Source.read(read, std::move(done));
 }
 
-void NewsPart::readEnded(TimePoint now, const PublishedRead &read,
-                         const absl::StatusOr<PublishedChanges> &result) {
+void StatePart::readEnded(TimePoint now, const PublishedRead &read,
+                          const absl::StatusOr<PublishedChanges> &result) {
   Watch.readEnded(read.Section, read.After == Revision{}, result.status());
   if (result.ok())
-    newsCame();
-  onNews(now, Exchange.readEnded(now, read, result));
+    noteRefreshed();
+  runExchange(now, Exchange.readEnded(now, read, result));
 }
 
-void NewsPart::logChange(const PublishedObject &object, const VmId &from) {
+void StatePart::logChange(const PublishedObject &object, const VmId &from) {
   LogLine line(Part::Reader, Severity::Info, "published-changed");
   line.text("section", sectionName(object.Section))
       .text("object", object.Name)
@@ -319,7 +320,7 @@
   Watch.log(line);
 }
 
-void NewsPart::newsChanged(TimePoint now, const NewsChanged &changed) {
+void StatePart::handleStateChange(TimePoint now, const StateChanged &changed) {
   for (const PublishedObject &object : changed.Changed)
     logChange(object, changed.From);
   if (changed.Section == PublishedSection::Servers)
@@ -329,7 +330,7 @@
   RoutesDue = true;
 }
 
-void NewsPart::publishRoutes(TimePoint now) {
+void StatePart::publishRoutes(TimePoint now) {
   bool due = (RoutesDue && now >= NextRoutes) || now >= Book.nextChange();
   if (!due || !Exchange.store().complete())
     return;
@@ -338,7 +339,7 @@
   Listener.routesChanged(Book.snapshot(now));
 }
 
-void NewsPart::publishFigures(TimePoint now) {
+void StatePart::publishFigures(TimePoint now) {
   if (now < NextFigures)
     return;
   NextFigures = now + FiguresPeriod;
--- a/Balsamrack/Daemon/NewsPart.h
+++ b/Balsamrack/Daemon/StatePart.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_DAEMON_NEWSPART_H
-#define BALSAMRACK_DAEMON_NEWSPART_H
+#ifndef BALSAMRACK_DAEMON_STATEPART_H
+#define BALSAMRACK_DAEMON_STATEPART_H
 
 #include <atomic>
 #include <memory>
@@ -12,56 +12,56 @@
 #include "Balsamrack/Membership/Membership.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Peers/DatagramPeers.h"
-#include "Balsamrack/Published/NewsExchange.h"
 #include "Balsamrack/Published/PublishedSource.h"
+#include "Balsamrack/Published/StateExchange.h"
 
 namespace balsamrack {
 
-/// Gets what a NewsPart finds out. Called on its thread; must not block.
-class NewsListener {
+/// Gets what a StatePart finds out. Called on its thread; must not block.
+class StateListener {
 public:
-  virtual ~NewsListener() = default;
+  virtual ~StateListener() = default;
   /// Where packets may go has changed.
   virtual void routesChanged(std::shared_ptr<const PacketRoutes> routes) = 0;
   /// There are \p daemons, and this one is number \p self in the order of
   /// failure domain and id.
   virtual void fleetChanged(size_t daemons, size_t self) = 0;
-  /// News came in after a pause.
+  /// Updates came in after a pause.
   virtual void refreshed() = 0;
 };
 
 /// The thread that knows who is there and what is published: membership, the
-/// exchange of news and the book of routes, with the socket for peers. Public
+/// state exchange and the book of routes, with the socket for peers. Public
 /// methods are thread-safe.
-class NewsPart {
+class StatePart {
 public:
   /// Starts the thread. \p run orders the lives of this VM. Error as of
   /// Membership::create. Preconditions: all references outlive the part.
-  static absl::StatusOr<std::unique_ptr<NewsPart>>
+  static absl::StatusOr<std::unique_ptr<StatePart>>
   create(const EntryVm &self, const std::vector<EntryVm> &seeds,
          Incarnation run, uint64_t seed, std::unique_ptr<DatagramPeers> peers,
          PublishedSource &source, const Clock &clock,
-         PacketTelemetry &telemetry, NewsListener &listener);
-  NewsPart(const NewsPart &) = delete;
-  NewsPart &operator=(const NewsPart &) = delete;
-  ~NewsPart();
+         PacketTelemetry &telemetry, StateListener &listener);
+  StatePart(const StatePart &) = delete;
+  StatePart &operator=(const StatePart &) = delete;
+  ~StatePart();
 
   /// True once something is known of everything that is published.
   bool complete() const { return Complete.load(); }
   /// These daemons may be there too.
   void addSeeds(const std::vector<EntryVm> &seeds);
   /// This process was paused.
-  void woke();
+  void requestAfterPause();
   /// This daemon will end soon: peers shall not count on it.
   void leave();
   /// Says goodbye and ends the thread. Idempotent.
   void stop();
 
 private:
-  NewsPart(const EntryVm &self, Incarnation run, uint64_t seed,
-           std::unique_ptr<DatagramPeers> peers, PublishedSource &source,
-           const Clock &clock, PacketTelemetry &telemetry,
-           NewsListener &listener);
+  StatePart(const EntryVm &self, Incarnation run, uint64_t seed,
+            std::unique_ptr<DatagramPeers> peers, PublishedSource &source,
+            const Clock &clock, PacketTelemetry &telemetry,
+            StateListener &listener);
 
   absl::Status startMembership();
   void run();
@@ -70,14 +70,15 @@
   void stepMembership(TimePoint now, const MembershipEvent &event);
   void onMembership(const MembershipAction &action);
   void restartAs(TimePoint now, Incarnation run);
-  void onNews(TimePoint now, const std::vector<NewsAction> &actions);
+  void runExchange(TimePoint now,
+                   const std::vector<StateExchangeAction> &actions);
   void startRead(const PublishedRead &read);
   void readEnded(TimePoint now, const PublishedRead &read,
                  const absl::StatusOr<PublishedChanges> &result);
-  void newsChanged(TimePoint now, const NewsChanged &changed);
+  void handleStateChange(TimePoint now, const StateChanged &changed);
   void logChange(const PublishedObject &object, const VmId &from);
   void publishMembers(TimePoint now);
-  void newsCame();
+  void noteRefreshed();
   void send(const EntryVm &to, const PeerMessage &message);
   void sendAll(const std::vector<EntryVm> &to, const PeerMessage &message);
   void publishRoutes(TimePoint now);
@@ -91,19 +92,19 @@
   PublishedSource &Source;
   const Clock &Time;
   PacketTelemetry &Watch;
-  NewsListener &Listener;
+  StateListener &Listener;
   const std::shared_ptr<TaskQueue> Tasks; ///< For the thread.
 
   // The thread's own.
   std::vector<EntryVm> Seeds;
   std::unique_ptr<Membership> Members;
-  NewsExchange Exchange;
+  StateExchange Exchange;
   RouteBook Book;
-  bool RoutesDue = true;   ///< A snapshot is to be made once all is known.
-  TimePoint NextRoutes;    ///< Not before; see UpdatePeriod.
-  bool MembersDue = true;  ///< The live daemons have changed.
-  TimePoint NextMembers;   ///< Not before; see UpdatePeriod.
-  bool AwaitsNews = false; ///< A pause has ended, and no news came since.
+  bool RoutesDue = true;      ///< A snapshot is to be made once all is known.
+  TimePoint NextRoutes;       ///< Not before; see UpdatePeriod.
+  bool MembersDue = true;     ///< The live daemons have changed.
+  TimePoint NextMembers;      ///< Not before; see UpdatePeriod.
+  bool AwaitsRefresh = false; ///< A pause has ended, and no updates came since.
   TimePoint NextFigures;
   size_t LivePeers = 0;
 
@@ -114,4 +115,4 @@
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_DAEMON_NEWSPART_H
+#endif // BALSAMRACK_DAEMON_STATEPART_H
--- a/Balsamrack/Flows/EntrySettings.h
+++ b/Balsamrack/Flows/EntrySettings.h
@@ -36,8 +36,8 @@
       250'000}; ///< As above; longer, as giving up refuses a RunOnce request.
   Duration ClaimRepeat{
       50'000}; ///< Between claims while a guardian hands over what it knows: a
-               ///< hand-over takes some milliseconds, news of who has left up
-               ///< to a probe's period. Ends with ClaimTimeout.
+               ///< hand-over takes some milliseconds, updates of who has left
+               ///< up to a probe's period. Ends with ClaimTimeout.
   uint32_t GuardianCount = 2; ///< Guardians of a key: survives one death.
   Duration KeyMemory{
       600'000'000}; ///< Guardians remember keys for so long; requests with a
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -48,13 +48,13 @@
   bool provedNew(const EntrySettings &settings) const;
   /// True when a guardian that may be alive gave no answer.
   bool anyUnanswered() const;
-  /// True when news that are under way may still turn Refuse into Run: a
+  /// True when updates that are under way may still turn Refuse into Run: a
   /// guardian leaves and is handing over what it knows, or this daemon has just
   /// started and knows of fewer daemons than a key has guardians. \p view is
   /// the present one.
   bool mayStillBeGranted(const GuardianView &view,
                          const EntrySettings &settings) const;
-  /// Forgets the answers that such news may change. Returns the guardians to
+  /// Forgets the answers that such updates may change. Returns the guardians to
   /// send the same claim to once more.
   std::vector<EntryVm> askAgain();
   /// All guardians that a claim was sent to.
--- a/Balsamrack/Flows/PlacementBudget.h
+++ b/Balsamrack/Flows/PlacementBudget.h
@@ -6,11 +6,11 @@
 /// How many further tries a service's packets may have.
 ///
 /// Load that it answers: overload of a whole service, when every owner refuses.
-/// Without it each packet is offered to several owners, so the control work
-/// grows by that factor just when there is none to spare. Each packet earns a
-/// fraction of a try, so tries are a bounded share of the packets and shrink
-/// with them; a small saved-up burst serves the common case of one full server.
-/// Not thread-safe.
+/// Without it each packet is offered to several owners, so the control
+/// work grows by that factor just when there is none to spare. Each packet
+/// earns a fraction of a try, so tries are a bounded share of the packets and
+/// shrink with them; a small saved-up burst serves the common case of one full
+/// server. Not thread-safe.
 class PlacementBudget {
 public:
   /// Each packet earns \p ratio tries; at most \p burst are saved up, with
--- a/Balsamrack/Membership/GossipComposer.cpp
+++ b/Balsamrack/Membership/GossipComposer.cpp
@@ -4,20 +4,20 @@
 
 namespace {
 
-/// Encoded field names and numbers of one piece of news.
+/// Encoded field names and numbers of one piece of record.
 constexpr size_t MemberOverheadBytes = 80;
 constexpr size_t ConditionOverheadBytes = 50;
 /// Conditions get this part of the bytes of a message at most.
 constexpr size_t ConditionShare = 2;
-/// Each daemon passes news on so many times for each doubling of the fleet;
+/// Each daemon passes record on so many times for each doubling of the fleet;
 /// an epidemic needs about one (SWIM, section 4.1), the rest covers loss.
 constexpr uint32_t SendsPerDoubling = 2;
 
 } // namespace
 
-size_t estimatedBytes(const MemberNews &news) {
-  return MemberOverheadBytes + news.Vm.Id.str().size() +
-         news.Vm.Domain.str().size() + news.Vm.PeerAt.Ip.size();
+size_t estimatedBytes(const MemberRecord &record) {
+  return MemberOverheadBytes + record.Vm.Id.str().size() +
+         record.Vm.Domain.str().size() + record.Vm.PeerAt.Ip.size();
 }
 
 size_t estimatedBytes(const ServerCondition &condition) {
@@ -29,7 +29,7 @@
                                const DomainId &domain)
     : Settings(settings), Domain(domain) {}
 
-bool GossipComposer::conditionNews(const ServerCondition &condition) {
+bool GossipComposer::queueCondition(const ServerCondition &condition) {
   auto it = Conditions.find(condition.Server);
   if (it != Conditions.end() && condition.Version <= it->second.Version)
     return false;
@@ -49,16 +49,16 @@
                                         const EntryVm &to,
                                         Gossip &gossip) const {
   auto it = members.find(to.Id);
-  if (it == members.end() || it->second.News.State == MemberState::Alive)
+  if (it == members.end() || it->second.Record.State == MemberState::Alive)
     return 0;
-  gossip.Members.push_back(it->second.News);
-  return estimatedBytes(it->second.News);
+  gossip.Members.push_back(it->second.Record);
+  return estimatedBytes(it->second.Record);
 }
 
 Gossip GossipComposer::compose(const MemberMap &members, const EntryVm &to) {
   Gossip gossip{Held, {}, {}};
   uint32_t times = timesToSend(members.size());
-  size_t left = Settings.NewsBytes;
+  size_t left = Settings.GossipBytes;
   // Conditions matter to daemons of the own domain only.
   if (to.Domain == Domain)
     for (const ServerId &id :
@@ -71,10 +71,10 @@
   size_t used = addAboutReceiver(members, to, gossip);
   left -= used < left ? used : left;
   for (const VmId &id : MemberQueue.take(left, times, [&](const VmId &key) {
-         return estimatedBytes(members.at(key).News);
+         return estimatedBytes(members.at(key).Record);
        }))
     if (id != to.Id || used == 0)
-      gossip.Members.push_back(members.at(id).News);
+      gossip.Members.push_back(members.at(id).Record);
   return gossip;
 }
 
@@ -84,12 +84,12 @@
   size_t bytes = addAboutReceiver(members, to, gossip);
   for (bool ofReceiver : {true, false})
     for (const auto &[id, member] : members) {
-      bool here = member.News.Vm.Domain == to.Domain;
-      size_t more = estimatedBytes(member.News);
+      bool here = member.Record.Vm.Domain == to.Domain;
+      size_t more = estimatedBytes(member.Record);
       if (here != ofReceiver || id == to.Id || !member.live() ||
-          bytes + more > Settings.FullNewsBytes)
+          bytes + more > Settings.FullTableBytes)
         continue;
-      gossip.Members.push_back(member.News);
+      gossip.Members.push_back(member.Record);
       bytes += more;
     }
   return gossip;
--- a/Balsamrack/Membership/GossipComposer.h
+++ b/Balsamrack/Membership/GossipComposer.h
@@ -3,18 +3,18 @@
 
 #include <map>
 
+#include "Balsamrack/Membership/GossipQueue.h"
 #include "Balsamrack/Membership/MemberTable.h"
 #include "Balsamrack/Membership/MembershipSettings.h"
-#include "Balsamrack/Membership/NewsQueue.h"
 
 namespace balsamrack {
 
-/// Size that \p news is reckoned with on a message, in bytes. Thread-safe.
-size_t estimatedBytes(const MemberNews &news);
+/// Size that \p record is reckoned with on a message, in bytes. Thread-safe.
+size_t estimatedBytes(const MemberRecord &record);
 /// Size that \p condition is reckoned with on a message. Thread-safe.
 size_t estimatedBytes(const ServerCondition &condition);
 
-/// Decides which news ride on a probe message, within a bound of bytes. Not
+/// Decides which updates ride on a probe message, within a bound of bytes. Not
 /// thread-safe.
 class GossipComposer {
 public:
@@ -25,20 +25,20 @@
   void setDigest(const StateDigest &held) { Held = held; }
   /// The own configuration. Not thread-safe.
   const StateDigest &digest() const { return Held; }
-  /// A member has news to be spread. Not thread-safe.
-  void memberNews(const VmId &vm) { MemberQueue.add(vm); }
+  /// A member has updates to be spread. Not thread-safe.
+  void queueMember(const VmId &vm) { MemberQueue.add(vm); }
   /// A member was forgotten. Not thread-safe.
   void memberForgotten(const VmId &vm) { MemberQueue.remove(vm); }
   /// Takes a condition; true when it is newer than what was known. Not
   /// thread-safe.
-  bool conditionNews(const ServerCondition &condition);
+  bool queueCondition(const ServerCondition &condition);
 
-  /// News for \p to. If \p to is known, but not held for alive, the news of it
-  /// come first: it refutes them at once, and takes the message for no renewal
-  /// of its lease. Not thread-safe.
+  /// Updates for \p to. If \p to is known, but not held for alive, the updates
+  /// of it come first: it refutes them at once, and takes the message for no
+  /// renewal of its lease. Not thread-safe.
   Gossip compose(const MemberMap &members, const EntryVm &to);
   /// As compose, for a daemon that has just started: the whole table as far as
-  /// FullNewsBytes reach, its own domain first. Not thread-safe.
+  /// FullTableBytes reach, its own domain first. Not thread-safe.
   Gossip composeFull(const MemberMap &members, const EntryVm &to);
 
 private:
@@ -49,8 +49,8 @@
   const MembershipSettings Settings;              ///< Limits.
   const DomainId Domain;                          ///< Own domain.
   StateDigest Held;                               ///< Own configuration.
-  NewsQueue<VmId> MemberQueue;                    ///< Members with news.
-  NewsQueue<ServerId> ConditionQueue;             ///< Servers with news.
+  GossipQueue<VmId> MemberQueue;                  ///< Members with updates.
+  GossipQueue<ServerId> ConditionQueue;           ///< Servers with updates.
   std::map<ServerId, ServerCondition> Conditions; ///< Newest of each server.
 };
 
--- a/Balsamrack/Membership/NewsQueue.h
+++ b/Balsamrack/Membership/GossipQueue.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_MEMBERSHIP_NEWSQUEUE_H
-#define BALSAMRACK_MEMBERSHIP_NEWSQUEUE_H
+#ifndef BALSAMRACK_MEMBERSHIP_GOSSIPQUEUE_H
+#define BALSAMRACK_MEMBERSHIP_GOSSIPQUEUE_H
 
 #include <cstddef>
 #include <cstdint>
@@ -10,18 +10,18 @@
 
 namespace balsamrack {
 
-/// Which news still have to ride on probes, least often sent first, older ones
-/// first among equals. Holds only names: the news themselves are looked up when
-/// they are sent, so that they are never stale. \p Key is a VmId or a ServerId.
-/// Not thread-safe.
-template <class Key> class NewsQueue {
+/// Which updates still have to ride on probes, least often sent first, older
+/// ones first among equals. Holds only names: the updates themselves are looked
+/// up when they are sent, so that they are never stale. \p Key is a VmId or a
+/// ServerId. Not thread-safe.
+template <class Key> class GossipQueue {
 public:
-  /// \p key has news that were not sent yet. Not thread-safe.
+  /// \p key has updates that were not sent yet. Not thread-safe.
   void add(const Key &key) {
     remove(key);
     place(key, 0);
   }
-  /// \p key has no news any more. Not thread-safe.
+  /// \p key needs no update any more. Not thread-safe.
   void remove(const Key &key) {
     auto it = Places.find(key);
     if (it == Places.end())
@@ -49,7 +49,7 @@
     }
     return taken;
   }
-  /// Number of names with unsent news. Not thread-safe.
+  /// Number of names with unsent updates. Not thread-safe.
   size_t size() const { return Places.size(); }
 
 private:
@@ -70,4 +70,4 @@
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_MEMBERSHIP_NEWSQUEUE_H
+#endif // BALSAMRACK_MEMBERSHIP_GOSSIPQUEUE_H
--- a/Balsamrack/Membership/MemberTable.cpp
+++ b/Balsamrack/Membership/MemberTable.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-bool isHigher(const MemberNews &a, const MemberNews &b) {
+bool isHigher(const MemberRecord &a, const MemberRecord &b) {
   return std::make_tuple(a.Run.Value, a.Refutation, a.State) >
          std::make_tuple(b.Run.Value, b.Refutation, b.State);
 }
@@ -28,19 +28,19 @@
 MemberTable::MemberTable(const MembershipSettings &settings,
                          const EntryVm &self, Incarnation run)
     : Settings(settings), Self(self.Id), OwnDomain(self.Domain) {
-  Members[Self].News = {self, run, 0, MemberState::Alive};
+  Members[Self].Record = {self, run, 0, MemberState::Alive};
 }
 
 void MemberTable::note(const MemberView &member, const std::string &rule,
                        const VmId &peer, bool spread) {
-  Changes.push_back({member.News, member.Unreachable, rule, peer, spread});
+  Changes.push_back({member.Record, member.Unreachable, rule, peer, spread});
 }
 
 bool MemberTable::takeHeldForDead() {
   return std::exchange(HeldForDead, false);
 }
 
-std::optional<MemberNews> MemberTable::takeSuperseded() {
+std::optional<MemberRecord> MemberTable::takeSuperseded() {
   return std::exchange(SupersededBy, std::nullopt);
 }
 
@@ -50,75 +50,75 @@
 
 void MemberTable::leave(TimePoint now, MemberState state) {
   MemberView &self = Members.at(Self);
-  MemberNews news = self.News;
-  news.Vm.Leaving = true;
-  ++news.Refutation;
-  news.State = state;
-  replace(now, self, news, "leaving", Self);
+  MemberRecord record = self.Record;
+  record.Vm.Leaving = true;
+  ++record.Refutation;
+  record.State = state;
+  replace(now, self, record, "leaving", Self);
 }
 
 void MemberTable::replace(TimePoint now, MemberView &member,
-                          const MemberNews &news, const std::string &rule,
+                          const MemberRecord &record, const std::string &rule,
                           const VmId &peer) {
-  if (member.News.State == MemberState::Alive &&
-      news.State != MemberState::Alive)
+  if (member.Record.State == MemberState::Alive &&
+      record.State != MemberState::Alive)
     member.SilentSince = now;
-  member.News = news;
+  member.Record = record;
   member.Since = now;
-  Suspicions.erase(news.Vm.Id);
-  if (news.State == MemberState::Suspect && !member.Unreachable)
-    Suspicions[news.Vm.Id] = {now, now + suspicionOf(member), false};
-  if (news.State == MemberState::Dead || news.State == MemberState::Left)
+  Suspicions.erase(record.Vm.Id);
+  if (record.State == MemberState::Suspect && !member.Unreachable)
+    Suspicions[record.Vm.Id] = {now, now + suspicionOf(member), false};
+  if (record.State == MemberState::Dead || record.State == MemberState::Left)
     member.Unreachable = false;
   note(member, rule, peer, !member.Unreachable);
 }
 
-void MemberTable::refute(TimePoint now, const MemberNews &news,
+void MemberTable::refute(TimePoint now, const MemberRecord &record,
                          const VmId &peer) {
   MemberView &self = Members.at(Self);
   // Guards against two processes under one name: the VM was replaced while
   // this process was paused, and the new run may own what this one owned.
-  if (news.Run > self.News.Run) {
-    SupersededBy = news;
+  if (record.Run > self.Record.Run) {
+    SupersededBy = record;
     return;
   }
-  if (news.Run != self.News.Run || news.State == MemberState::Alive ||
-      self.News.State == MemberState::Left ||
-      news.Refutation < self.News.Refutation)
+  if (record.Run != self.Record.Run || record.State == MemberState::Alive ||
+      self.Record.State == MemberState::Left ||
+      record.Refutation < self.Record.Refutation)
     return;
   // Guards against two owners: whoever holds us for dead may have a new owner
   // for our servers that waits for our lease only, so we own nothing from here
   // on, before anyone hears that we live and renews that lease.
-  HeldForDead = HeldForDead || news.State == MemberState::Dead;
-  MemberNews refuted = self.News;
-  refuted.Refutation = news.Refutation + 1;
+  HeldForDead = HeldForDead || record.State == MemberState::Dead;
+  MemberRecord refuted = self.Record;
+  refuted.Refutation = record.Refutation + 1;
   replace(now, self, refuted, "refuted", peer);
 }
 
-void MemberTable::apply(TimePoint now, const MemberNews &news,
+void MemberTable::apply(TimePoint now, const MemberRecord &record,
                         const VmId &peer) {
-  if (news.Vm.Id == Self) {
-    refute(now, news, peer);
+  if (record.Vm.Id == Self) {
+    refute(now, record, peer);
     return;
   }
-  auto it = Members.find(news.Vm.Id);
+  auto it = Members.find(record.Vm.Id);
   bool gone =
-      news.State == MemberState::Dead || news.State == MemberState::Left;
-  // News of the death of an unknown daemon is of no use here.
+      record.State == MemberState::Dead || record.State == MemberState::Left;
+  // The death of an unknown daemon is of no use here.
   if (it == Members.end() && gone)
     return;
   if (it == Members.end()) {
-    MemberView &member = Members[news.Vm.Id];
-    member.Unreachable = !reachable(news.Vm.Domain);
-    replace(now, member, news, "first-news", peer);
-  } else if (isHigher(news, it->second.News)) {
+    MemberView &member = Members[record.Vm.Id];
+    member.Unreachable = !reachable(record.Vm.Domain);
+    replace(now, member, record, "first-record", peer);
+  } else if (isHigher(record, it->second.Record)) {
     MemberView &member = it->second;
-    if (news.Run > member.News.Run) {
-      bool left = member.News.State == MemberState::Left;
+    if (record.Run > member.Record.Run) {
+      bool left = member.Record.State == MemberState::Left;
       member.PreviousRunRenewed = left ? TimePoint{} : member.LastRenewed;
       member.LastRenewed = {};
     }
-    replace(now, it->second, news, "higher-news", peer);
+    replace(now, it->second, record, "higher-record", peer);
   }
 }
 
@@ -127,7 +127,7 @@
   if (it == Members.end())
     return;
   it->second.LastHeard = now;
-  const DomainId &domain = it->second.News.Vm.Domain;
+  const DomainId &domain = it->second.Record.Vm.Domain;
   DomainHeard[domain] = now;
   if (UnreachableDomains.count(domain))
     setReachable(now, domain);
@@ -135,8 +135,8 @@
 
 bool MemberTable::isAlive(const VmId &vm, Incarnation run) const {
   auto it = Members.find(vm);
-  return it != Members.end() && it->second.News.State == MemberState::Alive &&
-         it->second.News.Run == run;
+  return it != Members.end() && it->second.Record.State == MemberState::Alive &&
+         it->second.Record.Run == run;
 }
 
 bool MemberTable::renew(TimePoint now, const VmId &vm, Incarnation run) {
@@ -147,24 +147,24 @@
 }
 
 Duration MemberTable::suspicionOf(const MemberView &member) const {
-  const DomainId &domain = member.News.Vm.Domain;
+  const DomainId &domain = member.Record.Vm.Domain;
   if (domain != OwnDomain)
     return Settings.suspicionTime(Members.size());
-  // Every second probe stays in the own domain, so news of it spread as fast as
-  // in a fleet of that size.
+  // Every second probe stays in the own domain, so record of it spread as fast
+  // as in a fleet of that size.
   auto here = std::count_if(Members.begin(), Members.end(), [&](const auto &m) {
-    return m.second.News.Vm.Domain == domain;
+    return m.second.Record.Vm.Domain == domain;
   });
   return Settings.suspicionTime(static_cast<size_t>(here));
 }
 
 void MemberTable::suspect(TimePoint now, const VmId &vm) {
   auto it = Members.find(vm);
-  if (it == Members.end() || it->second.News.State != MemberState::Alive)
+  if (it == Members.end() || it->second.Record.State != MemberState::Alive)
     return;
-  MemberNews news = it->second.News;
-  news.State = MemberState::Suspect;
-  replace(now, it->second, news, "probe-unanswered", Self);
+  MemberRecord record = it->second.Record;
+  record.State = MemberState::Suspect;
+  replace(now, it->second, record, "probe-unanswered", Self);
 }
 
 void MemberTable::slept(Duration gap) {
@@ -188,7 +188,7 @@
 
 void MemberTable::end(TimePoint now, const VmId &vm, Suspicion suspicion) {
   MemberView &member = Members.at(vm);
-  const DomainId domain = member.News.Vm.Domain;
+  const DomainId domain = member.Record.Vm.Domain;
   // Guards against taking a cut for many deaths: if nobody of the other domain
   // was heard since the suspicion began, the link is the likelier fault, and
   // members must not be replaced while they may be serving behind the cut.
@@ -203,15 +203,15 @@
     setUnreachable(now, domain);
     return;
   }
-  MemberNews news = member.News;
-  news.State = MemberState::Dead;
-  replace(now, member, news, "suspicion-expired", Self);
+  MemberRecord record = member.Record;
+  record.State = MemberState::Dead;
+  replace(now, member, record, "suspicion-expired", Self);
 }
 
 void MemberTable::setUnreachable(TimePoint now, const DomainId &domain) {
   UnreachableDomains.insert(domain);
   for (auto &[id, member] : Members) {
-    if (member.News.Vm.Domain != domain || !member.live())
+    if (member.Record.Vm.Domain != domain || !member.live())
       continue;
     member.Unreachable = true;
     member.Since = now;
@@ -223,11 +223,11 @@
 void MemberTable::setReachable(TimePoint now, const DomainId &domain) {
   UnreachableDomains.erase(domain);
   for (auto &[id, member] : Members) {
-    if (member.News.Vm.Domain != domain || !member.Unreachable)
+    if (member.Record.Vm.Domain != domain || !member.Unreachable)
       continue;
     member.Unreachable = false;
     member.Since = now;
-    if (member.News.State == MemberState::Suspect) {
+    if (member.Record.State == MemberState::Suspect) {
       Duration time = suspicionOf(member) * HealSuspicions;
       Suspicions[id] = {now, now + time, false};
     }
@@ -239,8 +239,8 @@
   std::vector<VmId> forgotten;
   for (auto it = Members.begin(); it != Members.end();) {
     MemberView &member = it->second;
-    bool gone = member.News.State == MemberState::Dead ||
-                member.News.State == MemberState::Left;
+    bool gone = member.Record.State == MemberState::Dead ||
+                member.Record.State == MemberState::Left;
     bool old = gone && now - member.Since > Settings.ForgetAfter;
     // The platform took it off its list: it won't come back behind the cut.
     bool removed = member.Unreachable && hints.unlisted(it->first);
@@ -251,7 +251,7 @@
       continue;
     }
     if (!gone) {
-      member.News.State = MemberState::Dead;
+      member.Record.State = MemberState::Dead;
       member.Unreachable = false;
       note(member, "unlisted-behind-cut", Self, false);
     }
@@ -267,7 +267,7 @@
 
 std::optional<DomainId> MemberTable::silentDomain() const {
   for (const auto &[vm, suspicion] : Suspicions) {
-    const DomainId &domain = Members.at(vm).News.Vm.Domain;
+    const DomainId &domain = Members.at(vm).Record.Vm.Domain;
     auto it = DomainHeard.find(domain);
     if (domain != OwnDomain &&
         (it == DomainHeard.end() || it->second < suspicion.Since))
--- a/Balsamrack/Membership/MemberTable.h
+++ b/Balsamrack/Membership/MemberTable.h
@@ -15,19 +15,19 @@
 
 /// True when \p a is higher than \p b: by Run, then Refutation, then State.
 /// Thread-safe.
-bool isHigher(const MemberNews &a, const MemberNews &b);
+bool isHigher(const MemberRecord &a, const MemberRecord &b);
 
 /// One change of the table.
 struct MemberChange {
-  MemberNews News;          ///< The state after it.
+  MemberRecord Record;      ///< The state after it.
   bool Unreachable = false; ///< Reachability after it.
   std::string Rule;         ///< Why.
   VmId Peer;                ///< On whose word; may be empty.
   bool Spread = true;       ///< Whether others should hear of it.
 };
 
-/// What is known of the daemons, and the rules by which news change it: the
-/// higher news wins, a suspicion that is not refuted becomes death, and a
+/// What is known of the daemons, and the rules by which record change it: the
+/// higher record wins, a suspicion that is not refuted becomes death, and a
 /// domain that is silent as a whole is unreachable instead. Not thread-safe.
 class MemberTable {
 public:
@@ -37,14 +37,14 @@
 
   /// All known daemons, this one included. Not thread-safe.
   const MemberMap &all() const { return Members; }
-  /// News of this daemon. Not thread-safe.
-  const MemberNews &self() const { return Members.at(Self).News; }
+  /// Record of this daemon. Not thread-safe.
+  const MemberRecord &self() const { return Members.at(Self).Record; }
   /// This daemon shuts down (\p state Alive) or is gone (Left). Not
   /// thread-safe.
   void leave(TimePoint now, MemberState state);
 
-  /// Takes news from \p peer. Not thread-safe.
-  void apply(TimePoint now, const MemberNews &news, const VmId &peer);
+  /// Takes record from \p peer. Not thread-safe.
+  void apply(TimePoint now, const MemberRecord &record, const VmId &peer);
   /// \p vm answered or spoke itself. Not thread-safe.
   void heard(TimePoint now, const VmId &vm);
   /// We answer a probe of \p vm. Its lease is renewed when we hold this run of
@@ -71,7 +71,7 @@
   bool takeHeldForDead();
   /// A later run of this daemon, when one was heard of since the last call. Not
   /// thread-safe.
-  std::optional<MemberNews> takeSuperseded();
+  std::optional<MemberRecord> takeSuperseded();
   /// Changes since the last call, in order. Not thread-safe.
   std::vector<MemberChange> takeChanges();
 
@@ -82,8 +82,8 @@
     TimePoint Until;      ///< When it becomes death.
     bool Checked = false; ///< Its domain got a second chance to be heard.
   };
-  void refute(TimePoint now, const MemberNews &news, const VmId &peer);
-  void replace(TimePoint now, MemberView &member, const MemberNews &news,
+  void refute(TimePoint now, const MemberRecord &record, const VmId &peer);
+  void replace(TimePoint now, MemberView &member, const MemberRecord &record,
                const std::string &rule, const VmId &peer);
   Duration suspicionOf(const MemberView &member) const;
   void end(TimePoint now, const VmId &vm, Suspicion suspicion);
@@ -101,7 +101,7 @@
   std::map<DomainId, TimePoint> DomainHeard; ///< Last direct message of any.
   std::set<DomainId> UnreachableDomains;     ///< Silent as a whole.
   bool HeldForDead = false;                  ///< Not taken yet.
-  std::optional<MemberNews> SupersededBy;    ///< Not taken yet.
+  std::optional<MemberRecord> SupersededBy;  ///< Not taken yet.
   std::vector<MemberChange> Changes;         ///< Not taken yet.
   TimePoint NextForget; ///< forget() goes through all members.
 };
--- a/Balsamrack/Membership/MemberView.h
+++ b/Balsamrack/Membership/MemberView.h
@@ -10,7 +10,7 @@
 
 /// What one daemon knows of another. Not thread-safe for writing.
 struct MemberView {
-  MemberNews News;          ///< The highest news of it.
+  MemberRecord Record;      ///< The highest record of it.
   bool Unreachable = false; ///< Its whole domain is silent: not the same as
                             ///< dead.
   TimePoint Since;          ///< When its state or reachability changed.
@@ -24,8 +24,8 @@
 
   /// Alive or suspect, and its domain can be reached. Thread-safe.
   bool live() const {
-    return !Unreachable && (News.State == MemberState::Alive ||
-                            News.State == MemberState::Suspect);
+    return !Unreachable && (Record.State == MemberState::Alive ||
+                            Record.State == MemberState::Suspect);
   }
 };
 
--- a/Balsamrack/Membership/MembershipEvents.h
+++ b/Balsamrack/Membership/MembershipEvents.h
@@ -47,7 +47,7 @@
 };
 /// A daemon's state, run or reachability changed.
 struct MemberChanged {
-  MemberNews News;          ///< The news.
+  MemberRecord Record;      ///< The record.
   bool Unreachable = false; ///< Its domain is silent as a whole.
 };
 /// A peer holds tickets that are lacking here: ask it for state.
@@ -78,7 +78,7 @@
 /// A later run under this daemon's name is known: the VM was replaced while
 /// this process was paused. Stop dispatching and shut down.
 struct Superseded {
-  MemberNews News; ///< The later run.
+  MemberRecord Record; ///< The later run.
 };
 
 /// All that a Membership asks for, to be carried out in order.
--- a/Balsamrack/Membership/MembershipMessages.h
+++ b/Balsamrack/Membership/MembershipMessages.h
@@ -20,9 +20,9 @@
   Left,    ///< Said goodbye.
 };
 
-/// News of one daemon. Ordered by Run, then Refutation, then State: the higher
-/// one wins.
-struct MemberNews {
+/// State of one daemon. Ordered by Run, then Refutation, then State: the
+/// higher one wins.
+struct MemberRecord {
   EntryVm Vm;      ///< Who and where.
   Incarnation Run; ///< Which run of that daemon.
   uint32_t Refutation =
@@ -33,8 +33,8 @@
 /// What rides on each probe.
 struct Gossip {
   StateDigest Held; ///< Tickets that the sender holds.
-  std::vector<MemberNews>
-      Members; ///< A few news of members, least often sent first.
+  std::vector<MemberRecord>
+      Members; ///< A few updates of members, least often sent first.
   std::vector<ServerCondition>
       Conditions; ///< A few conditions of servers of the sender's domain.
 };
@@ -42,15 +42,15 @@
 /// Direct probe (SWIM: Das, Gupta, Motivala 2002).
 struct Ping {
   uint64_t Sequence = 0; ///< Repeated in the Ack.
-  MemberNews Sender;     ///< The sender about itself.
-  Gossip News;           ///< What rides along.
+  MemberRecord Sender;   ///< The sender about itself.
+  Gossip Updates;        ///< What rides along.
 };
 
 /// Asks a peer to probe a third daemon for us.
 struct PingRequest {
   uint64_t Sequence = 0; ///< Repeated in the Ack.
   EntryVm Target;        ///< Whom to probe.
-  Gossip News;           ///< What rides along.
+  Gossip Updates;        ///< What rides along.
 };
 
 /// Answer to a Ping or, once the target answered, to a PingRequest.
@@ -58,10 +58,10 @@
   uint64_t Sequence = 0; ///< Of the Ping or PingRequest.
   VmId About; ///< Whose life it proves: the sender itself, or the target of the
               ///< PingRequest.
-  MemberNews Sender;  ///< The sender about itself.
-  Gossip News;        ///< What rides along.
-  bool Renews = true; ///< False: the answerer was paused and has no right yet
-                      ///< to renew the lease of another.
+  MemberRecord Sender; ///< The sender about itself.
+  Gossip Updates;      ///< What rides along.
+  bool Renews = true;  ///< False: the answerer was paused and has no right yet
+                       ///< to renew the lease of another.
 };
 
 /// One backend server's state, passed on when its owner leaves or loses it to a
--- a/Balsamrack/Membership/MembershipSettings.cpp
+++ b/Balsamrack/Membership/MembershipSettings.cpp
@@ -30,7 +30,7 @@
     return fault("margins must not be negative");
   if (LeaseTime < ProbePeriod * 2 * ProbesOfOwnDomainPerLease)
     return fault("the lease must outlast two probes of the own domain");
-  if (AsksPerPeriod == 0 || NewsBytes == 0 || FullNewsBytes == 0)
+  if (AsksPerPeriod == 0 || GossipBytes == 0 || FullTableBytes == 0)
     return fault("limits must be above zero");
   return absl::OkStatus();
 }
--- a/Balsamrack/Membership/MembershipSettings.h
+++ b/Balsamrack/Membership/MembershipSettings.h
@@ -23,7 +23,7 @@
   Duration MinSuspicion{1'500'000};  ///< Shortest time from suspect to dead.
   Duration SuspicionPerDoubling{
       500'000}; ///< Suspicion lasts this long for each doubling of the fleet,
-                ///< the time that news need to spread and to be refuted.
+                ///< the time that updates need to spread and to be refuted.
   Duration LeaseTime{4'000'000}; ///< Authority to dispatch lasts this long from
                                  ///< the sending of the last answered probe.
   Duration DriftMargin{250'000}; ///< Added to LeaseTime by whoever waits for
@@ -35,10 +35,11 @@
       2'000'000}; ///< One probe towards unreachable domains, with jitter.
   Duration HintRetryMax{30'000'000}; ///< Longest wait between probes of a
                                      ///< listed VM that never answered.
-  size_t NewsBytes = 500;            ///< News on a message, in estimated bytes.
-  size_t FullNewsBytes = 65'536; ///< News for a daemon that has just started.
-  Duration AskPeriod{250'000};   ///< Between repeats of an ownership question.
-  uint32_t AsksPerPeriod = 16;   ///< Daemons asked in one AskPeriod.
+  size_t GossipBytes = 500; ///< Updates on a message, in estimated bytes.
+  size_t FullTableBytes =
+      65'536;                  ///< Updates for a daemon that has just started.
+  Duration AskPeriod{250'000}; ///< Between repeats of an ownership question.
+  uint32_t AsksPerPeriod = 16; ///< Daemons asked in one AskPeriod.
 
   /// Error kInvalidArgument (step read-settings) when a value is out of its
   /// range, or when the lease could end before two probes of the own domain.
--- a/Balsamrack/Membership/OwnershipFence.cpp
+++ b/Balsamrack/Membership/OwnershipFence.cpp
@@ -56,7 +56,7 @@
   if (!Peers.empty())
     return;
   // Alone: nobody renews. After a lapse, whoever may have taken over meanwhile
-  // and is not known yet gets the time that its lease and its news need.
+  // and is not known yet gets the time that its lease and its updates need.
   if (Lapsed && !RenewedSince) {
     if (slept)
       LapsedAt = now;
--- a/Balsamrack/Membership/OwnershipMap.cpp
+++ b/Balsamrack/Membership/OwnershipMap.cpp
@@ -26,7 +26,7 @@
   for (const auto &[id, member] : members) {
     if (!member.live())
       continue;
-    const EntryVm &vm = member.News.Vm;
+    const EntryVm &vm = member.Record.Vm;
     Candidates &there = map.ByDomain[vm.Domain];
     (vm.Leaving ? there.Leaving : there.Staying).push_back(vm);
   }
--- a/Balsamrack/Membership/OwnershipTracker.cpp
+++ b/Balsamrack/Membership/OwnershipTracker.cpp
@@ -41,7 +41,7 @@
                                    TimePoint now)
     : Settings(settings), Self(self), Run(run), StartedAt(now), Now(now),
       NextAsk(now) {
-  Members[Self.Id].News = {Self, Run, 0, MemberState::Alive};
+  Members[Self.Id].Record = {Self, Run, 0, MemberState::Alive};
   Map = OwnershipMap::create(Members);
   LiveHash = liveHash();
 }
@@ -60,7 +60,7 @@
 void OwnershipTracker::on(const MembersChanged &event) {
   Members.clear();
   for (const auto &[id, member] : event.Members)
-    if (member.News.Vm.Domain == Self.Domain)
+    if (member.Record.Vm.Domain == Self.Domain)
       Members[id] = member;
   Map = OwnershipMap::create(Members);
   Unranked = true;
@@ -150,12 +150,13 @@
 
 void OwnershipTracker::on(const HandOverReceived &event) {
   const OwnershipHandOver &message = event.Message;
-  // News of a daemon or of a run that is not known as live yet; it asks again.
+  // Updates of a daemon or of a run that is not known as live yet; it asks
+  // again.
   const MemberView *sender = livePeer(message.From, message.Run);
   if (!sender)
     return;
   if (!message.Wanted.empty())
-    onQuestion(sender->News.Vm, message);
+    onQuestion(sender->Record.Vm, message);
   else
     onAnswer(message);
 }
@@ -285,7 +286,7 @@
   // Whoever was asked longest ago comes first.
   std::stable_sort(order.begin(), order.end(),
                    [this](const MemberView *a, const MemberView *b) {
-                     return Asked[a->News.Vm.Id] < Asked[b->News.Vm.Id];
+                     return Asked[a->Record.Vm.Id] < Asked[b->Record.Vm.Id];
                    });
   for (const MemberView *peer : order)
     if (left > 0 && askPeer(*peer))
@@ -293,7 +294,7 @@
 }
 
 bool OwnershipTracker::askPeer(const MemberView &peer) {
-  const VmId &id = peer.News.Vm.Id;
+  const VmId &id = peer.Record.Vm.Id;
   OwnershipHandOver first = message(Sequence), last = message(Sequence);
   last.Last = true;
   for (const ServerId &server : WantedIds) {
@@ -315,7 +316,7 @@
     if (question->Wanted.empty())
       continue;
     any = true;
-    Actions.push_back(SendHandOver{peer.News.Vm, *question});
+    Actions.push_back(SendHandOver{peer.Record.Vm, *question});
   }
   return any;
 }
@@ -340,7 +341,7 @@
 
 bool OwnershipTracker::allReleased(const Entry &entry) const {
   for (const MemberView *peer : peers())
-    if (entry.Released.count(peer->News.Vm.Id) == 0)
+    if (entry.Released.count(peer->Record.Vm.Id) == 0)
       return false;
   return true;
 }
@@ -348,7 +349,7 @@
 void OwnershipTracker::gain(const ServerId &id, Entry &entry) {
   bool died = false;
   for (const auto &[vm, member] : Members)
-    died = died || member.News.State == MemberState::Dead ||
+    died = died || member.Record.State == MemberState::Dead ||
            member.PreviousRunRenewed != TimePoint{};
   GainedHow how = entry.HandedOver ? GainedHow::HandedOver
                   : died           ? GainedHow::TakenOver
@@ -381,7 +382,7 @@
                                              Incarnation run) const {
   auto it = Members.find(id);
   bool known = it != Members.end() && id != Self.Id && it->second.live() &&
-               it->second.News.Run == run;
+               it->second.Record.Run == run;
   return known ? &it->second : nullptr;
 }
 
@@ -389,7 +390,7 @@
   uint64_t hash = 0;
   for (const auto &[id, member] : Members)
     if (member.live())
-      hash += combineHash(id.hash(), member.News.Run.Value);
+      hash += combineHash(id.hash(), member.Record.Run.Value);
   return hash;
 }
 
@@ -403,7 +404,7 @@
   TimePoint latest;
   for (const auto &[id, member] : Members) {
     latest = std::max(latest, member.PreviousRunRenewed);
-    if (member.News.State == MemberState::Dead)
+    if (member.Record.State == MemberState::Dead)
       latest = std::max({latest, member.LastRenewed, member.SilentSince});
   }
   return latest == TimePoint{} ? QuietForEver
--- a/Balsamrack/Membership/ProbeOrder.cpp
+++ b/Balsamrack/Membership/ProbeOrder.cpp
@@ -32,7 +32,7 @@
       auto it = members.find(Round.back());
       Round.pop_back();
       if (it != members.end() && takesPart(it->second))
-        return it->second.News.Vm;
+        return it->second.Record.Vm;
     }
     Round = takingPart(members, takesPart);
     shuffle(Round, random);
@@ -47,7 +47,7 @@
   std::vector<EntryVm> picked;
   while (!list.empty() && picked.size() < count) {
     std::swap(list.back(), list[random.below(list.size())]);
-    picked.push_back(members.at(list.back()).News.Vm);
+    picked.push_back(members.at(list.back()).Record.Vm);
     list.pop_back();
   }
   return picked;
--- a/Balsamrack/Membership/SwimMembership.cpp
+++ b/Balsamrack/Membership/SwimMembership.cpp
@@ -14,7 +14,7 @@
 constexpr int PausePeriods = 2;
 /// A whole table is sent to starters at most this often: at the start of a
 /// whole fleet everybody is new to everybody.
-constexpr Duration FullNewsPeriod{500'000};
+constexpr Duration FullTablePeriod{500'000};
 /// A peer with newer tickets is told at most this often.
 constexpr Duration AskForStatePeriod{250'000};
 /// A renewal older than this part of the lease makes the next probe go to the
@@ -41,7 +41,7 @@
                                uint64_t seed)
     : Settings(settings), Self(self), Run(run), Random(seed),
       Table(settings, self, run), Hints(settings, self),
-      News(settings, self.Domain) {}
+      Composer(settings, self.Domain) {}
 
 std::vector<MembershipAction>
 SwimMembership::step(TimePoint now, const MembershipEvent &event) {
@@ -63,7 +63,7 @@
   expireRelays();
   expireProbes();
   for (const VmId &vm : Table.expire(Now, Hints)) {
-    News.memberForgotten(vm);
+    Composer.memberForgotten(vm);
     Hints.memberForgotten(Now, vm);
   }
   takeChanges();
@@ -133,13 +133,13 @@
   auto others = pickRandom(
       Table.all(),
       [&](const MemberView &member) {
-        return isPeer(member) && member.News.State == MemberState::Alive &&
-               member.News.Vm.Id != target.Id;
+        return isPeer(member) && member.Record.State == MemberState::Alive &&
+               member.Record.Vm.Id != target.Id;
       },
       Settings.IndirectProbes, Random);
   for (const EntryVm &other : others)
     send(other,
-         PingRequest{sequence, target, News.compose(Table.all(), other)});
+         PingRequest{sequence, target, Composer.compose(Table.all(), other)});
 }
 
 void SwimMembership::unanswered(const EntryVm &target) {
@@ -150,23 +150,23 @@
 }
 
 bool SwimMembership::isPeer(const MemberView &member) const {
-  return member.live() && member.News.Vm.Id != Self.Id;
+  return member.live() && member.Record.Vm.Id != Self.Id;
 }
 
 bool SwimMembership::isDomainPeer(const MemberView &member) const {
-  return isPeer(member) && member.News.Vm.Domain == Self.Domain;
+  return isPeer(member) && member.Record.Vm.Domain == Self.Domain;
 }
 
 void SwimMembership::probe(const EntryVm &target) {
   Probes[++LastSequence] = {target, Now, false};
   send(target,
-       Ping{LastSequence, Table.self(), News.compose(Table.all(), target)});
+       Ping{LastSequence, Table.self(), Composer.compose(Table.all(), target)});
 }
 
 void SwimMembership::probeNext() {
   auto ofDomain = [this](const MemberView &m) { return isDomainPeer(m); };
   auto ofFleet = [this](const MemberView &m) {
-    return isPeer(m) && m.News.Vm.Domain != Self.Domain;
+    return isPeer(m) && m.Record.Vm.Domain != Self.Domain;
   };
   bool leaseAges = Now - LastRenewal > Settings.LeaseTime / LeaseParts;
   bool domain = (DomainTurn || leaseAges) && !liveDomainPeers().empty();
@@ -178,7 +178,7 @@
     auto there = pickRandom(
         Table.all(),
         [&](const MemberView &m) {
-          return isPeer(m) && m.News.Vm.Domain == *silent;
+          return isPeer(m) && m.Record.Vm.Domain == *silent;
         },
         1, Random);
     if (!there.empty())
@@ -205,10 +205,10 @@
   // The dead are tried too: after a cut inside the own domain each side holds
   // the other for dead, and neither would ever hear of the other again.
   auto gone = [](const MemberView &m) {
-    return m.Unreachable || m.News.State == MemberState::Dead;
+    return m.Unreachable || m.Record.State == MemberState::Dead;
   };
   auto goneHere = [&](const MemberView &m) {
-    return gone(m) && m.News.Vm.Domain == Self.Domain;
+    return gone(m) && m.Record.Vm.Domain == Self.Domain;
   };
   // The own domain comes first: a cut-off region must not delay the finding of
   // a daemon with which ownership has to be settled.
@@ -230,19 +230,19 @@
 }
 
 void SwimMembership::on(const EntryVm &from, const Ping &ping) {
-  const MemberNews &sender = ping.Sender;
+  const MemberRecord &sender = ping.Sender;
   if (sender.Vm.Id != from.Id || sender.Vm.Id == Self.Id)
     return;
   auto it = Table.all().find(sender.Vm.Id);
-  bool started = it == Table.all().end() || it->second.News.Run < sender.Run;
-  // News of us come before the answer, so that it carries the refutation.
-  takeNews(from, ping.News);
+  bool started = it == Table.all().end() || it->second.Record.Run < sender.Run;
+  // Updates of us come before the answer, so that it carries the refutation.
+  mergeGossip(from, ping.Updates);
   Table.apply(Now, sender, from.Id);
   Hints.forget(sender.Vm.Id);
   Table.heard(Now, sender.Vm.Id);
   takeChanges();
   // Guards against the goodbye of a daemon that was never heard of here: the
-  // table keeps no news of it, and nobody waits for an answer.
+  // table keeps no updates of it, and nobody waits for an answer.
   bool known = Table.all().count(sender.Vm.Id) != 0;
   if (known && Table.self().State != MemberState::Left)
     answer(sender.Vm, ping, started);
@@ -250,37 +250,38 @@
 
 void SwimMembership::answer(const EntryVm &to, const Ping &ping, bool started) {
   bool renews = mayRenew() && Table.renew(Now, to.Id, ping.Sender.Run);
-  bool full = started && Now >= NextFullNews;
+  bool full = started && Now >= NextFullTable;
   if (full)
-    NextFullNews = Now + FullNewsPeriod;
-  Gossip news =
-      full ? News.composeFull(Table.all(), to) : News.compose(Table.all(), to);
+    NextFullTable = Now + FullTablePeriod;
+  Gossip updates = full ? Composer.composeFull(Table.all(), to)
+                        : Composer.compose(Table.all(), to);
   // A run that is over learns of its successor, and that nothing was renewed.
-  const MemberNews &known = Table.all().at(to.Id).News;
+  const MemberRecord &known = Table.all().at(to.Id).Record;
   if (known.Run > ping.Sender.Run)
-    news.Members.insert(news.Members.begin(), known);
-  send(to, Ack{ping.Sequence, Self.Id, Table.self(), std::move(news), renews});
+    updates.Members.insert(updates.Members.begin(), known);
+  send(to,
+       Ack{ping.Sequence, Self.Id, Table.self(), std::move(updates), renews});
 }
 
 void SwimMembership::on(const EntryVm &from, const PingRequest &request) {
-  takeNews(from, request.News);
+  mergeGossip(from, request.Updates);
   if (request.Target.Id == Self.Id)
     return;
   Relays[++LastSequence] = {from, request.Sequence, Now};
   send(request.Target, Ping{LastSequence, Table.self(),
-                            News.compose(Table.all(), request.Target)});
+                            Composer.compose(Table.all(), request.Target)});
 }
 
 void SwimMembership::on(const EntryVm &from, const Ack &ack) {
   if (ack.Sender.Vm.Id != ack.About)
     return;
-  takeNews(from, ack.News);
+  mergeGossip(from, ack.Updates);
   auto relay = Relays.find(ack.Sequence);
   if (relay != Relays.end()) {
     Table.apply(Now, ack.Sender, from.Id);
     const EntryVm asker = relay->second.Asker;
     send(asker, Ack{relay->second.Sequence, ack.About, ack.Sender,
-                    News.compose(Table.all(), asker), false});
+                    Composer.compose(Table.all(), asker), false});
     Relays.erase(relay);
     return;
   }
@@ -304,30 +305,30 @@
   if (!direct || !ack.Renews || ack.Sender.Vm.Domain != Self.Domain)
     return;
   // The peer renews only when it holds this run for alive; if not, its answer
-  // carries news of us that say so (GossipComposer).
-  for (const MemberNews &news : ack.News.Members)
-    if (news.Vm.Id == Self.Id &&
-        (news.State != MemberState::Alive || news.Run != Run))
+  // carries updates of us that say so (GossipComposer).
+  for (const MemberRecord &record : ack.Updates.Members)
+    if (record.Vm.Id == Self.Id &&
+        (record.State != MemberState::Alive || record.Run != Run))
       return;
   Proven = Proven || probe.SentAt >= WokeAt;
   LastRenewal = std::max(LastRenewal, probe.SentAt);
   Actions.push_back(LeaseRenewed{ack.About, probe.SentAt});
 }
 
-void SwimMembership::takeNews(const EntryVm &from, const Gossip &news) {
-  for (const MemberNews &member : news.Members)
+void SwimMembership::mergeGossip(const EntryVm &from, const Gossip &updates) {
+  for (const MemberRecord &member : updates.Members)
     Table.apply(Now, member, from.Id);
-  for (const ServerCondition &condition : news.Conditions)
-    if (from.Domain == Self.Domain && News.conditionNews(condition))
+  for (const ServerCondition &condition : updates.Conditions)
+    if (from.Domain == Self.Domain && Composer.queueCondition(condition))
       Actions.push_back(ConditionHeard{condition});
-  compareDigests(from, news.Held);
+  compareDigests(from, updates.Held);
   // Before anything is sent: HeldForDead has to go first.
   takeChanges();
 }
 
 void SwimMembership::compareDigests(const EntryVm &from,
                                     const StateDigest &theirs) {
-  const StateDigest &ours = News.digest();
+  const StateDigest &ours = Composer.digest();
   if (theirs.Highest < ours.Highest) {
     Actions.push_back(PeerLacks{from, theirs});
     return;
@@ -351,11 +352,11 @@
 }
 
 void SwimMembership::on(const DigestChanged &event) {
-  News.setDigest(event.Held);
+  Composer.setDigest(event.Held);
 }
 
 void SwimMembership::on(const ConditionLearned &event) {
-  News.conditionNews(event.Condition);
+  Composer.queueCondition(event.Condition);
 }
 
 void SwimMembership::on(const MembershipLeaving &) {
@@ -377,7 +378,8 @@
        pickRandom(Table.all(), anyone, Settings.IndirectProbes, Random))
     told.push_back(vm);
   for (const EntryVm &vm : told)
-    send(vm, Ping{++LastSequence, Table.self(), News.compose(Table.all(), vm)});
+    send(vm,
+         Ping{++LastSequence, Table.self(), Composer.compose(Table.all(), vm)});
 }
 
 void SwimMembership::takeChanges() {
@@ -386,9 +388,9 @@
   if (auto later = Table.takeSuperseded())
     Actions.push_back(Superseded{*later});
   for (const MemberChange &change : Table.takeChanges()) {
-    if (change.Spread && Table.all().count(change.News.Vm.Id))
-      News.memberNews(change.News.Vm.Id);
-    Actions.push_back(MemberChanged{change.News, change.Unreachable});
+    if (change.Spread && Table.all().count(change.Record.Vm.Id))
+      Composer.queueMember(change.Record.Vm.Id);
+    Actions.push_back(MemberChanged{change.Record, change.Unreachable});
     explain(change);
   }
 }
@@ -400,15 +402,15 @@
   decision.Kind = DecisionKind::MemberChanged;
   decision.Rule = change.Rule;
   decision.Result = absl::StrCat(
-      change.News.Vm.Id.str(), " is held for ",
+      change.Record.Vm.Id.str(), " is held for ",
       change.Unreachable ? "unreachable"
-                         : names[static_cast<size_t>(change.News.State)]);
-  decision.Ticket = News.digest().Highest;
+                         : names[static_cast<size_t>(change.Record.State)]);
+  decision.Ticket = Composer.digest().Highest;
   decision.AtStep = stepName(Step::Probe);
   decision.AtPeer = change.Peer.str();
-  decision.Inputs = {{"run", absl::StrCat(change.News.Run.Value)},
-                     {"refutation", absl::StrCat(change.News.Refutation)},
-                     {"domain", change.News.Vm.Domain.str()}};
+  decision.Inputs = {{"run", absl::StrCat(change.Record.Run.Value)},
+                     {"refutation", absl::StrCat(change.Record.Refutation)},
+                     {"domain", change.Record.Vm.Domain.str()}};
   Actions.push_back(Explain{std::move(decision)});
 }
 
--- a/Balsamrack/Membership/SwimMembership.h
+++ b/Balsamrack/Membership/SwimMembership.h
@@ -72,7 +72,7 @@
   bool mayRenew() const;
   void answer(const EntryVm &to, const Ping &ping, bool started);
   void provenAlive(const Probe &probe, const EntryVm &from, const Ack &ack);
-  void takeNews(const EntryVm &from, const Gossip &news);
+  void mergeGossip(const EntryVm &from, const Gossip &updates);
   void compareDigests(const EntryVm &from, const StateDigest &theirs);
   void takeChanges();
   void explain(const MemberChange &change);
@@ -86,7 +86,7 @@
   SeededRandom Random;                   ///< Order and jitter.
   MemberTable Table;                     ///< Who is there.
   HintList Hints;                        ///< Who may be there.
-  GossipComposer News;                   ///< What rides along.
+  GossipComposer Composer;               ///< What rides along.
   ProbeOrder DomainOrder;                ///< Own domain's round.
   ProbeOrder FleetOrder;                 ///< The other domains' round.
   std::map<uint64_t, Probe> Probes;      ///< Unanswered, by sequence.
@@ -97,7 +97,7 @@
   TimePoint StartUntil;                  ///< Probes come quicker until then.
   TimePoint NextPeriod;                  ///< When the next probe is due.
   TimePoint NextUnreachable;             ///< When the next one there is due.
-  TimePoint NextFullNews;                ///< Whole tables are sent this late.
+  TimePoint NextFullTable;               ///< Whole tables are sent this late.
   TimePoint NextAskForState;             ///< PeerHasNewer is told this late.
   TimePoint WokeAt;                      ///< End of the last pause; zero: none.
   bool Proven = true;                    ///< A peer renewed us since WokeAt.
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -25,8 +25,8 @@
   bool keep(const PacketHead &head, const uint8_t *bytes, size_t n);
 };
 
-/// Openings that wait: for the first news after a start or a pause, or for free
-/// slots. Bounded. Not thread-safe.
+/// Openings that wait: for the first updates after a start or a pause, or for
+/// free slots. Bounded. Not thread-safe.
 class HeldOpenings {
 public:
   /// Half a second of a small site's openings at a daemon.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -56,7 +56,8 @@
 
 void PacketRouter::packet(TimePoint now, const PacketHead &head,
                           const uint8_t *bytes, size_t n, PacketSink &out) {
-  if (!Routes && head.Opens && holdBack(now, head, bytes, n, Settings.NewsWait))
+  if (!Routes && head.Opens &&
+      holdBack(now, head, bytes, n, Settings.RefreshWait))
     return;
   if (!Routes) {
     out.tell(eventOf(PacketEventKind::Dropped, PacketReason::NotReady,
@@ -81,7 +82,7 @@
     Flows.erase(head.Flow);
   }
   if (Stale) {
-    if (!holdBack(now, head, bytes, n, Settings.NewsWait))
+    if (!holdBack(now, head, bytes, n, Settings.RefreshWait))
       out.tell(eventOf(PacketEventKind::Dropped, PacketReason::Stale, head.Flow,
                        NoServerIndex));
     return;
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -22,11 +22,11 @@
 
 /// Limits of the packet router.
 struct PacketRouterSettings {
-  DomainId Domain;            ///< This daemon's failure domain.
-  Duration NewsWait{300'000}; ///< An opening waits so long at most for the
-                              ///< first news after a start or a pause: callers
-                              ///< send a copy after 200 ms.
-  size_t MaxFlows = 100'000;  ///< Flows remembered, some 100 bytes each.
+  DomainId Domain;                 ///< This daemon's failure domain.
+  Duration RefreshWait{300'000};   ///< An opening waits so long at most for the
+                                   ///< first updates after a start or a pause:
+                                   ///< callers send a copy after 200 ms.
+  size_t MaxFlows = 100'000;       ///< Flows remembered, some 100 bytes each.
   Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
                                    ///< forgotten; callers give up after 1.4 s.
   Duration LastCopyPatience{
@@ -194,7 +194,7 @@
   FlowMemory Flows;                           ///< Flows of this daemon.
   SilenceDetector Silence;                    ///< Who does not answer.
   OpeningTimeout Timeout;                     ///< For openings.
-  HeldOpenings Held;                          ///< Wait for news.
+  HeldOpenings Held;                          ///< Wait for updates.
   HeldOpenings Late;                          ///< Wait for a free slot.
   std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
   /// Last copies until a reset, in order of Due; apart, since they wait longer
--- a/Balsamrack/Peers/PeerAcceptor.cpp
+++ b/Balsamrack/Peers/PeerAcceptor.cpp
@@ -242,7 +242,8 @@
   Stats.sent(false, hello.size());
   auto [it, isNew] = Current.emplace(guest.Vm.Id, h);
   if (!isNew)
-    // The earlier one is broken, even if the news of it is still on its way.
+    // The earlier one is broken, even if the update about it is still on its
+    // way.
     Endpoint.close(std::exchange(it->second, h), close_code::going_away,
                    "replaced", ec);
 }
--- a/Balsamrack/Peers/PeerCodec.cpp
+++ b/Balsamrack/Peers/PeerCodec.cpp
@@ -32,7 +32,7 @@
      "KeyReply",
      "KeySettled",
      "KeysHandedOver",
-     "PublishedOffer",
+     "PublishedDigest",
      "PublishedRequest",
      "PublishedUpdate"};
 
--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -159,7 +159,7 @@
 void WebsocketDialer::setHandlers(const RoutePtr &route,
                                   const Client::connection_ptr &c) {
   // A route may have gone on to another connection when an event of an earlier
-  // one arrives; that one must not be taken for news of the later.
+  // one arrives; that one must not be taken for an update of the later.
   auto current = [this, route,
                   id = std::weak_ptr<Client::connection_type>(c)](auto then) {
     return [this, route, id, then](const Handle &) {
--- a/Balsamrack/Peers/PeerFields.h
+++ b/Balsamrack/Peers/PeerFields.h
@@ -32,7 +32,7 @@
 }
 
 template <class Ar>
-void fields(Ar &ar, typename Ar::template Ref<MemberNews> m) {
+void fields(Ar &ar, typename Ar::template Ref<MemberRecord> m) {
   ar("v", m.Vm);
   ar("r", m.Run);
   ar("f", m.Refutation);
@@ -179,21 +179,21 @@
 template <class Ar> void fields(Ar &ar, typename Ar::template Ref<Ping> m) {
   ar("q", m.Sequence);
   ar("s", m.Sender);
-  ar("n", m.News);
+  ar("n", m.Updates);
 }
 
 template <class Ar>
 void fields(Ar &ar, typename Ar::template Ref<PingRequest> m) {
   ar("q", m.Sequence);
   ar("t", m.Target);
-  ar("n", m.News);
+  ar("n", m.Updates);
 }
 
 template <class Ar> void fields(Ar &ar, typename Ar::template Ref<Ack> m) {
   ar("q", m.Sequence);
   ar("a", m.About);
   ar("s", m.Sender);
-  ar("n", m.News);
+  ar("n", m.Updates);
   ar("w", m.Renews);
 }
 
--- a/Balsamrack/Peers/PeerMessage.h
+++ b/Balsamrack/Peers/PeerMessage.h
@@ -45,7 +45,7 @@
     std::variant<Hello, Ping, PingRequest, Ack, StateRequest, StateUpdate,
                  OwnershipHandOver, Forward, OutcomeReport, CancelRequest,
                  FlowQuestion, FlowReply, FlowExceptions, KeyClaim, KeyReply,
-                 KeySettled, KeysHandedOver, PublishedOffer, PublishedRequest,
+                 KeySettled, KeysHandedOver, PublishedDigest, PublishedRequest,
                  PublishedUpdate>;
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -149,7 +149,7 @@
 }
 
 template <class Ar>
-void fields(Ar &ar, typename Ar::template Ref<SectionMark> m) {
+void fields(Ar &ar, typename Ar::template Ref<SectionDigest> m) {
   ar("a", m.As);
   ar("l", m.LastChange);
   ar("p", m.Present);
@@ -159,8 +159,8 @@
 }
 
 template <class Ar>
-void fields(Ar &ar, typename Ar::template Ref<PublishedOffer> m) {
-  ar("m", m.Marks);
+void fields(Ar &ar, typename Ar::template Ref<PublishedDigest> m) {
+  ar("m", m.Digests);
   ar("a", m.Answer);
   ar("r", m.Relay);
 }
@@ -173,7 +173,7 @@
 template <class Ar>
 void fields(Ar &ar, typename Ar::template Ref<PublishedUpdate> m) {
   ar("c", m.Changes);
-  ar("m", m.Marks);
+  ar("m", m.Digests);
   ar("r", m.Relayed);
 }
 
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -9,7 +9,7 @@
 namespace balsamrack {
 
 /// What a daemon holds of one section.
-struct SectionMark {
+struct SectionDigest {
   Revision As;          ///< Complete up to here; zero: nothing.
   Revision LastChange;  ///< See PublishedStore::lastChange().
   uint64_t Present = 0; ///< See PublishedStore::presentHash().
@@ -21,9 +21,9 @@
 };
 
 /// Tells a peer what is held here.
-struct PublishedOffer {
-  std::vector<SectionMark> Marks; ///< One a section, in their order.
-  bool Answer = false;            ///< Answers an offer: needs none itself.
+struct PublishedDigest {
+  std::vector<SectionDigest> Digests; ///< One a section, in their order.
+  bool Answer = false;                ///< Answers an offer: needs none itself.
   bool Relay = false; ///< Carries a new proof: pass it on within the failure
                       ///< domain.
 };
@@ -36,7 +36,7 @@
 /// Tells a peer what it lacks, or what has just changed.
 struct PublishedUpdate {
   std::vector<PublishedChanges> Changes; ///< At most one a section.
-  std::vector<SectionMark> Marks;        ///< As in an offer.
+  std::vector<SectionDigest> Digests;    ///< As in an offer.
   bool Relayed = false; ///< Passed on within a failure domain; not again.
 };
 
--- a/Balsamrack/Published/PublishedSource.h
+++ b/Balsamrack/Published/PublishedSource.h
@@ -18,7 +18,7 @@
 };
 
 /// Where operators and servers publish. Reads cost the platform, so whoever
-/// reads is chosen with care (NewsExchange).
+/// reads is chosen with care (StateExchange).
 class PublishedSource {
 public:
   /// Gets the result: changes, or an error (step read-platform): kOutOfRange
--- a/Balsamrack/Published/NewsExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -1,4 +1,4 @@
-#include "Balsamrack/Published/NewsExchange.h"
+#include "Balsamrack/Published/StateExchange.h"
 
 #include <algorithm>
 #include <map>
@@ -11,29 +11,29 @@
 
 constexpr std::array<PublishedSection, PublishedSections> AllSections = {
     PublishedSection::Operators, PublishedSection::Servers};
-/// A mark of this age or more proves nothing; keeps sums of ages in range.
+/// A digest of this age or more proves nothing; keeps sums of ages in range.
 constexpr Duration NeverProved{3'600'000'000};
 /// Daemons of each other domain that hear of a change at once.
-constexpr size_t ToldElsewhere = 2;
+constexpr size_t ElsewhereFanout = 2;
 /// Daemons of each other domain that hear of a proof at once: one that is lost
 /// is made up for by the next.
-constexpr size_t ProvedElsewhere = 1;
+constexpr size_t ProofElsewhereFanout = 1;
 /// A proof that is newer than the last by less is not passed on.
 constexpr Duration LeastNewer{500'000};
 /// The wait before a takeover doubles so many times at most.
 constexpr size_t MostDoublings = 6;
 /// Peers that are offered a first listing.
-constexpr size_t OfferedAtStart = 2;
-/// Peers asked for news after a pause.
-constexpr size_t AskedOnWaking = 2;
+constexpr size_t StartFanout = 2;
+/// Peers asked for updates after a pause.
+constexpr size_t WakeupFanout = 2;
 
 } // namespace
 
-NewsExchange::NewsExchange(const NewsSettings &settings, const EntryVm &self,
-                           RandomSource &random)
+StateExchange::StateExchange(const StateExchangeSettings &settings,
+                             const EntryVm &self, RandomSource &random)
     : Settings(settings), Self(self), Random(random) {}
 
-void NewsExchange::setPeers(const std::vector<EntryVm> &peers) {
+void StateExchange::setPeers(const std::vector<EntryVm> &peers) {
   Peers = peers;
   // By hash, so that no VM is special by its name; the same order everywhere.
   uint64_t own = Self.Id.hash();
@@ -51,7 +51,7 @@
   DomainPlace = before.size();
 }
 
-bool NewsExchange::waitsForOther(PublishedSection section) const {
+bool StateExchange::waitsForOther(PublishedSection section) const {
   // While the service is away one section finds out when it is back.
   return std::any_of(AllSections.begin(), AllSections.end(),
                      [&](PublishedSection other) {
@@ -60,7 +60,7 @@
                      });
 }
 
-bool NewsExchange::wantsRead(TimePoint now, PublishedSection section) const {
+bool StateExchange::wantsRead(TimePoint now, PublishedSection section) const {
   const SectionState &state = at(section);
   if (state.Reading || now < state.NextRead || waitsForOther(section))
     return false;
@@ -74,12 +74,12 @@
          Settings.TakeoverAge + Settings.TakeoverStep * steps;
 }
 
-Duration NewsExchange::periodOf(PublishedSection section) const {
+Duration StateExchange::periodOf(PublishedSection section) const {
   return section == PublishedSection::Servers ? Settings.ServersPeriod
                                               : Settings.OperatorsPeriod;
 }
 
-void NewsExchange::readIfWanted(TimePoint now, PublishedSection section) {
+void StateExchange::readIfWanted(TimePoint now, PublishedSection section) {
   if (!wantsRead(now, section))
     return;
   SectionState &state = at(section);
@@ -96,32 +96,33 @@
   // A first listing may be old: the watch that follows, or a peer, brings it up
   // to date.
   read.MayBeOld = list && held == Revision{} && state.Failures == 0;
-  Actions.emplace_back(ReadNews{read});
+  Actions.emplace_back(StartRead{read});
 }
 
-std::vector<NewsAction> NewsExchange::tick(TimePoint now) {
+std::vector<StateExchangeAction> StateExchange::tick(TimePoint now) {
   if (StartedAt == TimePoint{})
     StartedAt = now;
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
-  if (now >= NextOffer) {
-    NextOffer = now + Settings.OfferPeriod;
-    offerOne(now);
+  if (now >= NextDigest) {
+    NextDigest = now + Settings.DigestPeriod;
+    sendDigestToOne(now);
   }
   return take();
 }
 
-std::vector<NewsAction> NewsExchange::woke(TimePoint now) {
+std::vector<StateExchangeAction>
+StateExchange::requestAfterPause(TimePoint now) {
   for (bool ownDomain : {true, false})
-    send(pick(ownDomain, AskedOnWaking), request());
+    send(pick(ownDomain, WakeupFanout), request());
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
   return take();
 }
 
-std::vector<NewsAction>
-NewsExchange::readEnded(TimePoint now, const PublishedRead &read,
-                        absl::StatusOr<PublishedChanges> result) {
+std::vector<StateExchangeAction>
+StateExchange::readEnded(TimePoint now, const PublishedRead &read,
+                         absl::StatusOr<PublishedChanges> result) {
   SectionState &state = at(read.Section);
   state.Reading = false;
   if (!result.ok()) {
@@ -138,24 +139,25 @@
     setProved(read.Section, now, Self.Id.hash(), readerRank());
   Revision before = Store.completeAs(read.Section);
   std::vector<PublishedObject> changed = merge(*result, VmId());
-  // What a daemon lists first is no news to those that run; whoever lacks it
+  // What a daemon lists first is no update to those that run; whoever lacks it
   // asks. Told to all, it would cost each daemon of a fleet that starts two
   // dozen copies of everything.
   if (!changed.empty() && before != Revision{})
-    tellFleet(now, read.After == Revision{}
-                       ? changesOfListing(read.Section, std::move(changed))
-                       : Store.changesAfter(read.Section, before));
+    broadcastToFleet(now,
+                     read.After == Revision{}
+                         ? changesOfListing(read.Section, std::move(changed))
+                         : Store.changesAfter(read.Section, before));
   else if (!read.MayBeOld)
-    spreadProof(now);
+    broadcastProof(now);
   else if (!changed.empty())
-    offerDomain(now, OfferedAtStart);
+    sendDigestToDomain(now, StartFanout);
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
   return take();
 }
 
-void NewsExchange::setProved(PublishedSection section, TimePoint at,
-                             uint64_t prover, uint32_t rank) {
+void StateExchange::setProved(PublishedSection section, TimePoint at,
+                              uint64_t prover, uint32_t rank) {
   SectionState &state = this->at(section);
   if (at <= state.ProvedAt)
     return;
@@ -164,7 +166,7 @@
   state.ProverRank = rank;
 }
 
-bool NewsExchange::yieldsTo(const SectionMark &theirs) const {
+bool StateExchange::yieldsTo(const SectionDigest &theirs) const {
   uint64_t own = Self.Id.hash();
   if (theirs.Prover == own || theirs.Age > Settings.TakeoverAge)
     return false;
@@ -174,8 +176,8 @@
 }
 
 PublishedChanges
-NewsExchange::changesOfListing(PublishedSection section,
-                               std::vector<PublishedObject> changed) const {
+StateExchange::changesOfListing(PublishedSection section,
+                                std::vector<PublishedObject> changed) const {
   // Guards against a publishing service that drops its history in a release:
   // each listing in place of a watch would go to the whole fleet as it is. A
   // list that begins where it ends completes nobody; the hash of all objects,
@@ -184,8 +186,8 @@
   return {section, as, as, std::move(changed)};
 }
 
-TimePoint NewsExchange::nextReadAfter(TimePoint now,
-                                      const PublishedRead &read) {
+TimePoint StateExchange::nextReadAfter(TimePoint now,
+                                       const PublishedRead &read) {
   if (!read.MayBeOld)
     return now + periodOf(read.Section);
   // Guards against a fleet that starts: each daemon that does not know the
@@ -196,8 +198,8 @@
          Duration(static_cast<int64_t>(Random.below(span)));
 }
 
-void NewsExchange::failed(TimePoint now, const PublishedRead &read,
-                          const absl::Status &status) {
+void StateExchange::failed(TimePoint now, const PublishedRead &read,
+                           const absl::Status &status) {
   SectionState &state = at(read.Section);
   if (status.code() == absl::StatusCode::kOutOfRange) {
     // The service has dropped the history that we would need.
@@ -224,8 +226,8 @@
       now + wait / 2 + Duration(static_cast<int64_t>(Random.below(half + 1)));
 }
 
-std::vector<SectionMark> NewsExchange::marks(TimePoint now) const {
-  std::vector<SectionMark> all;
+std::vector<SectionDigest> StateExchange::digests(TimePoint now) const {
+  std::vector<SectionDigest> all;
   for (PublishedSection section : AllSections) {
     TimePoint proved = at(section).ProvedAt;
     Duration age = proved == TimePoint{} ? NeverProved
@@ -237,18 +239,18 @@
   return all;
 }
 
-PublishedRequest NewsExchange::request() const {
+PublishedRequest StateExchange::request() const {
   PublishedRequest request;
   for (PublishedSection section : AllSections)
     request.After.push_back(Store.completeAs(section));
   return request;
 }
 
-bool NewsExchange::takeMarks(TimePoint now,
-                             const std::vector<SectionMark> &marks) {
+bool StateExchange::mergeDigests(TimePoint now,
+                                 const std::vector<SectionDigest> &digests) {
   bool newer = false;
-  for (size_t i = 0; i < std::min(marks.size(), AllSections.size()); ++i) {
-    const SectionMark &theirs = marks[i];
+  for (size_t i = 0; i < std::min(digests.size(), AllSections.size()); ++i) {
+    const SectionDigest &theirs = digests[i];
     PublishedSection section = AllSections[i];
     if (theirs.As > Store.completeAs(section))
       Store.completeUpTo(section, theirs.LastChange, theirs.As, theirs.Present);
@@ -267,34 +269,37 @@
   return newer;
 }
 
-bool NewsExchange::lacks(const std::vector<SectionMark> &theirs) const {
+bool StateExchange::lacks(const std::vector<SectionDigest> &theirs) const {
   for (size_t i = 0; i < std::min(theirs.size(), AllSections.size()); ++i)
     if (theirs[i].As > Store.completeAs(AllSections[i]))
       return true;
   return false;
 }
 
-std::vector<NewsAction> NewsExchange::offered(TimePoint now,
-                                              const EntryVm &from,
-                                              const PublishedOffer &offer) {
-  if (takeMarks(now, offer.Marks) && offer.Relay)
-    offerDomain(now, Settings.MostTold);
+std::vector<StateExchangeAction>
+StateExchange::handleDigest(TimePoint now, const EntryVm &from,
+                            const PublishedDigest &offer) {
+  if (mergeDigests(now, offer.Digests) && offer.Relay)
+    sendDigestToDomain(now, Settings.DomainFanout);
   // Guards against a fleet that starts, where each daemon would be sent
   // everything by everybody whose offer comes before the first answer.
-  if (lacks(offer.Marks) && now >= NextRequest) {
+  if (lacks(offer.Digests) && now >= NextRequest) {
     NextRequest = now + Settings.RequestPeriod;
     send({from}, request());
   }
   bool theyLack = false;
-  for (size_t i = 0; i < std::min(offer.Marks.size(), AllSections.size()); ++i)
-    theyLack = theyLack || offer.Marks[i].As < Store.completeAs(AllSections[i]);
+  for (size_t i = 0; i < std::min(offer.Digests.size(), AllSections.size());
+       ++i)
+    theyLack =
+        theyLack || offer.Digests[i].As < Store.completeAs(AllSections[i]);
   if (theyLack && !offer.Answer)
-    offerTo(now, from, true);
+    sendDigest(now, from, true);
   return take();
 }
 
-std::vector<NewsAction> NewsExchange::asked(TimePoint now, const EntryVm &from,
-                                            const PublishedRequest &request) {
+std::vector<StateExchangeAction>
+StateExchange::handleRequest(TimePoint now, const EntryVm &from,
+                             const PublishedRequest &request) {
   PublishedUpdate update;
   for (size_t i = 0; i < std::min(request.After.size(), AllSections.size());
        ++i) {
@@ -302,17 +307,18 @@
     if (Store.completeAs(section) > request.After[i])
       update.Changes.push_back(Store.changesAfter(section, request.After[i]));
   }
-  update.Marks = marks(now);
+  update.Digests = digests(now);
   send({from}, std::move(update));
   return take();
 }
 
-std::vector<NewsAction> NewsExchange::told(TimePoint now, const EntryVm &from,
-                                           const PublishedUpdate &update) {
+std::vector<StateExchangeAction>
+StateExchange::handleUpdate(TimePoint now, const EntryVm &from,
+                            const PublishedUpdate &update) {
   bool changed = false;
   for (const PublishedChanges &changes : update.Changes)
     changed = !merge(changes, from.Id).empty() || changed;
-  takeMarks(now, update.Marks);
+  mergeDigests(now, update.Digests);
   bool gap = std::any_of(update.Changes.begin(), update.Changes.end(),
                          [this](const PublishedChanges &it) {
                            return it.As > Store.completeAs(it.Section);
@@ -322,21 +328,21 @@
   if (changed && !update.Relayed && from.Domain != Self.Domain) {
     PublishedUpdate relay = update;
     relay.Relayed = true;
-    relay.Marks = marks(now);
-    tellDomain(relay);
+    relay.Digests = digests(now);
+    broadcastToDomain(relay);
   }
   return take();
 }
 
 std::vector<PublishedObject>
-NewsExchange::merge(const PublishedChanges &changes, const VmId &from) {
+StateExchange::merge(const PublishedChanges &changes, const VmId &from) {
   std::vector<PublishedObject> changed = Store.merge(changes);
   if (!changed.empty())
-    Actions.emplace_back(NewsChanged{changes.Section, changed, from});
+    Actions.emplace_back(StateChanged{changes.Section, changed, from});
   return changed;
 }
 
-std::vector<EntryVm> NewsExchange::pick(bool ownDomain, size_t most) {
+std::vector<EntryVm> StateExchange::pick(bool ownDomain, size_t most) {
   std::vector<EntryVm> chosen;
   size_t seen = 0;
   for (const EntryVm &vm : Peers) {
@@ -355,7 +361,7 @@
   return chosen;
 }
 
-std::vector<EntryVm> NewsExchange::pickOfOtherDomains(size_t ofEach) {
+std::vector<EntryVm> StateExchange::pickOfOtherDomains(size_t ofEach) {
   std::vector<EntryVm> others = pick(false, Peers.size());
   for (size_t i = others.size(); i > 1; --i)
     std::swap(others[i - 1], others[Random.below(i)]);
@@ -367,52 +373,53 @@
   return chosen;
 }
 
-void NewsExchange::send(std::vector<EntryVm> to,
-                        decltype(SendNews::What) what) {
+void StateExchange::send(std::vector<EntryVm> to,
+                         decltype(SendStateMessage::What) what) {
   if (!to.empty())
-    Actions.emplace_back(SendNews{std::move(to), std::move(what)});
+    Actions.emplace_back(SendStateMessage{std::move(to), std::move(what)});
 }
 
-void NewsExchange::tellDomain(const PublishedUpdate &update) {
-  send(pick(true, Settings.MostTold), update);
+void StateExchange::broadcastToDomain(const PublishedUpdate &update) {
+  send(pick(true, Settings.DomainFanout), update);
 }
 
-void NewsExchange::tellFleet(TimePoint now, PublishedChanges changes) {
+void StateExchange::broadcastToFleet(TimePoint now, PublishedChanges changes) {
   PublishedUpdate update;
   update.Changes.push_back(std::move(changes));
-  update.Marks = marks(now);
-  tellDomain(update);
-  bool all = Peers.size() <= Settings.AllTold;
-  send(all ? pick(false, Peers.size()) : pickOfOtherDomains(ToldElsewhere),
+  update.Digests = digests(now);
+  broadcastToDomain(update);
+  bool all = Peers.size() <= Settings.WholeFleetFanout;
+  send(all ? pick(false, Peers.size()) : pickOfOtherDomains(ElsewhereFanout),
        std::move(update));
 }
 
-void NewsExchange::offerTo(TimePoint now, const EntryVm &peer, bool answer) {
-  send({peer}, PublishedOffer{marks(now), answer, false});
+void StateExchange::sendDigest(TimePoint now, const EntryVm &peer,
+                               bool answer) {
+  send({peer}, PublishedDigest{digests(now), answer, false});
 }
 
-void NewsExchange::offerOne(TimePoint now) {
+void StateExchange::sendDigestToOne(TimePoint now) {
   DomainTurn = !DomainTurn;
   std::vector<EntryVm> chosen = pick(DomainTurn, 1);
   if (chosen.empty())
     chosen = pick(!DomainTurn, 1);
   if (!chosen.empty())
-    offerTo(now, chosen.front(), false);
+    sendDigest(now, chosen.front(), false);
 }
 
-void NewsExchange::offerDomain(TimePoint now, size_t most) {
-  send(pick(true, most), PublishedOffer{marks(now), true, false});
+void StateExchange::sendDigestToDomain(TimePoint now, size_t most) {
+  send(pick(true, most), PublishedDigest{digests(now), true, false});
 }
 
-void NewsExchange::spreadProof(TimePoint now) {
-  offerDomain(now, Settings.MostTold);
-  send(pickOfOtherDomains(ProvedElsewhere),
-       PublishedOffer{marks(now), true, true});
+void StateExchange::broadcastProof(TimePoint now) {
+  sendDigestToDomain(now, Settings.DomainFanout);
+  send(pickOfOtherDomains(ProofElsewhereFanout),
+       PublishedDigest{digests(now), true, true});
 }
 
-TimePoint NewsExchange::nextWakeup() const {
+TimePoint StateExchange::nextWakeup() const {
   // What only the age of a proof calls for is found out when an offer is due.
-  TimePoint next = NextOffer;
+  TimePoint next = NextDigest;
   for (PublishedSection section : AllSections) {
     const SectionState &state = at(section);
     if (state.Reading || waitsForOther(section))
--- a/Balsamrack/Published/NewsExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
-#define BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
+#ifndef BALSAMRACK_PUBLISHED_STATEEXCHANGE_H
+#define BALSAMRACK_PUBLISHED_STATEEXCHANGE_H
 
 #include <array>
 #include <map>
@@ -15,15 +15,15 @@
 
 namespace balsamrack {
 
-/// Times and limits of the exchange of news.
-struct NewsSettings {
+/// Times and limits of the state exchange.
+struct StateExchangeSettings {
   Duration Watch{2'000'000}; ///< One watch of the publishing service waits so
                              ///< long: its answer is the proof that the service
                              ///< still speaks to its reader.
   size_t RegularReaders = 2; ///< Failure domains whose first daemon reads all
                              ///< the time. Two, so that one that fails or is
                              ///< cut off delays nothing.
-  Duration TakeoverAge{2'600'000}; ///< News without such a proof for longer:
+  Duration TakeoverAge{2'600'000}; ///< Updates without such a proof for longer:
                                    ///< others read too. A watch and its way to
                                    ///< all peers fit in.
   Duration TakeoverStep{200'000};  ///< The second daemon of a domain waits
@@ -35,7 +35,7 @@
                                    ///< when no peer proves its state in time.
   Duration StartWait{300'000};     ///< It waits so long for that, and up to
                                    ///< StartSpan more, at random.
-  Duration OfferPeriod{250'000};   ///< One peer is told what is held here.
+  Duration DigestPeriod{250'000};  ///< One peer is told what is held here.
   Duration RequestPeriod{50'000};  ///< Between requests that offers give rise
                                    ///< to: an answer takes some milliseconds.
   Duration MinBackoff{250'000};    ///< Between reads, after a failure.
@@ -49,22 +49,22 @@
                                    ///< several a second, and each change would
                                    ///< cost a call of each reader. Servers
                                    ///< drain for three seconds at least.
-  size_t MostTold = 64; ///< Peers of the own domain that are told of a change
-                        ///< at once; more hear by offers.
-  size_t AllTold = 16;  ///< A fleet up to this size is told as a whole.
+  size_t DomainFanout = 64;     ///< Peers of the own domain that are told of a
+                                ///< change at once; more hear by offers.
+  size_t WholeFleetFanout = 16; ///< A fleet up to this size is told as a whole.
 };
 
 /// Send some peers the same message.
-struct SendNews {
+struct SendStateMessage {
   std::vector<EntryVm> To; ///< Whom; at least one.
-  std::variant<PublishedOffer, PublishedRequest, PublishedUpdate> What;
+  std::variant<PublishedDigest, PublishedRequest, PublishedUpdate> What;
 };
 /// Read the publishing service; answer by readEnded().
-struct ReadNews {
+struct StartRead {
   PublishedRead What; ///< See there.
 };
 /// Something changed in a section.
-struct NewsChanged {
+struct StateChanged {
   PublishedSection Section = PublishedSection::Servers; ///< Where.
   std::vector<PublishedObject> Changed; ///< Objects in their new state.
   VmId From; ///< The peer that told; empty: read here.
@@ -76,23 +76,24 @@
   std::string Error; ///< Why, when it failed.
 };
 
-/// All that a NewsExchange asks for, in order.
-using NewsAction = std::variant<SendNews, ReadNews, NewsChanged, SourceChanged>;
+/// All that a StateExchange asks for, in order.
+using StateExchangeAction =
+    std::variant<SendStateMessage, StartRead, StateChanged, SourceChanged>;
 
 /// Who reads the publishing service, and how everybody hears: the first daemons
 /// of two failure domains read and tell their own domain and one or two daemons
 /// of each other one, which pass it on to theirs; all compare what they hold
 /// with one random peer a quarter second. Whoever hears no proof of freshness
-/// for some seconds reads by itself, so news depend neither on one's own path
-/// to the service nor on any single daemon. The load of the service grows
+/// for some seconds reads by itself, so updates depend neither on one's own
+/// path to the service nor on any single daemon. The load of the service grows
 /// neither with the fleet nor with its failure domains. Deterministic. Not
 /// thread-safe.
-class NewsExchange {
+class StateExchange {
 public:
   /// An exchange for \p self that holds nothing. Precondition: \p random
   /// outlives it.
-  NewsExchange(const NewsSettings &settings, const EntryVm &self,
-               RandomSource &random);
+  StateExchange(const StateExchangeSettings &settings, const EntryVm &self,
+                RandomSource &random);
 
   /// What is held.
   const PublishedStore &store() const { return Store; }
@@ -108,21 +109,25 @@
   /// These daemons live, this one left out.
   void setPeers(const std::vector<EntryVm> &peers);
   /// Time has passed; to be called by nextWakeup().
-  std::vector<NewsAction> tick(TimePoint now);
+  std::vector<StateExchangeAction> tick(TimePoint now);
   /// This process was paused: what it holds may be old.
-  std::vector<NewsAction> woke(TimePoint now);
+  std::vector<StateExchangeAction> requestAfterPause(TimePoint now);
   /// A read that was asked for has ended.
-  std::vector<NewsAction> readEnded(TimePoint now, const PublishedRead &read,
-                                    absl::StatusOr<PublishedChanges> result);
+  std::vector<StateExchangeAction>
+  readEnded(TimePoint now, const PublishedRead &read,
+            absl::StatusOr<PublishedChanges> result);
   /// A peer's message came in.
-  std::vector<NewsAction> offered(TimePoint now, const EntryVm &from,
-                                  const PublishedOffer &offer);
+  std::vector<StateExchangeAction> handleDigest(TimePoint now,
+                                                const EntryVm &from,
+                                                const PublishedDigest &offer);
   /// As above.
-  std::vector<NewsAction> asked(TimePoint now, const EntryVm &from,
-                                const PublishedRequest &request);
+  std::vector<StateExchangeAction>
+  handleRequest(TimePoint now, const EntryVm &from,
+                const PublishedRequest &request);
   /// As above.
-  std::vector<NewsAction> told(TimePoint now, const EntryVm &from,
-                               const PublishedUpdate &update);
+  std::vector<StateExchangeAction> handleUpdate(TimePoint now,
+                                                const EntryVm &from,
+                                                const PublishedUpdate &update);
   /// When tick() is due.
   TimePoint nextWakeup() const;
 
@@ -130,7 +135,7 @@
   /// What is known and under way for one section.
   struct SectionState {
     TimePoint ProvedAt;      ///< See provedAt().
-    uint64_t Prover = 0;     ///< As in SectionMark, of that proof.
+    uint64_t Prover = 0;     ///< As in SectionDigest, of that proof.
     uint32_t ProverRank = 0; ///< As above.
     bool Reading = false;    ///< A read is under way.
     bool ListNext = false;   ///< The history that a watch needs is gone.
@@ -155,34 +160,34 @@
   }
   void setProved(PublishedSection section, TimePoint at, uint64_t prover,
                  uint32_t rank);
-  bool yieldsTo(const SectionMark &theirs) const;
+  bool yieldsTo(const SectionDigest &theirs) const;
   bool waitsForOther(PublishedSection section) const;
   bool wantsRead(TimePoint now, PublishedSection section) const;
   Duration periodOf(PublishedSection section) const;
   void readIfWanted(TimePoint now, PublishedSection section);
   void failed(TimePoint now, const PublishedRead &read,
               const absl::Status &status);
-  std::vector<SectionMark> marks(TimePoint now) const;
+  std::vector<SectionDigest> digests(TimePoint now) const;
   PublishedRequest request() const;
-  bool takeMarks(TimePoint now, const std::vector<SectionMark> &marks);
+  bool mergeDigests(TimePoint now, const std::vector<SectionDigest> &digests);
   TimePoint nextReadAfter(TimePoint now, const PublishedRead &read);
-  bool lacks(const std::vector<SectionMark> &theirs) const;
+  bool lacks(const std::vector<SectionDigest> &theirs) const;
   std::vector<PublishedObject> merge(const PublishedChanges &changes,
                                      const VmId &from);
   PublishedChanges changesOfListing(PublishedSection section,
                                     std::vector<PublishedObject> changed) const;
-  void tellDomain(const PublishedUpdate &update);
-  void tellFleet(TimePoint now, PublishedChanges changes);
-  void offerTo(TimePoint now, const EntryVm &peer, bool answer);
-  void offerOne(TimePoint now);
-  void offerDomain(TimePoint now, size_t most);
-  void spreadProof(TimePoint now);
+  void broadcastToDomain(const PublishedUpdate &update);
+  void broadcastToFleet(TimePoint now, PublishedChanges changes);
+  void sendDigest(TimePoint now, const EntryVm &peer, bool answer);
+  void sendDigestToOne(TimePoint now);
+  void sendDigestToDomain(TimePoint now, size_t most);
+  void broadcastProof(TimePoint now);
   std::vector<EntryVm> pick(bool ownDomain, size_t most);
   std::vector<EntryVm> pickOfOtherDomains(size_t ofEach);
-  void send(std::vector<EntryVm> to, decltype(SendNews::What) what);
-  std::vector<NewsAction> take() { return std::exchange(Actions, {}); }
+  void send(std::vector<EntryVm> to, decltype(SendStateMessage::What) what);
+  std::vector<StateExchangeAction> take() { return std::exchange(Actions, {}); }
 
-  const NewsSettings Settings;
+  const StateExchangeSettings Settings;
   const EntryVm Self;
   RandomSource &Random;
   PublishedStore Store;                                 ///< What is held.
@@ -192,11 +197,11 @@
   size_t DomainPlace = 0; ///< Of the own domain in the order of all domains.
   TimePoint StartedAt;    ///< Of the first tick.
   TimePoint NextRequest;  ///< Not before; see RequestPeriod.
-  TimePoint NextOffer;    ///< Of one random peer.
+  TimePoint NextDigest;   ///< Of one random peer.
   bool DomainTurn = true; ///< Whose turn the next offer is.
-  std::vector<NewsAction> Actions; ///< Of the call under way.
+  std::vector<StateExchangeAction> Actions; ///< Of the call under way.
 };
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_PUBLISHED_NEWSEXCHANGE_H
+#endif // BALSAMRACK_PUBLISHED_STATEEXCHANGE_H
--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -245,10 +245,10 @@
 }
 
 // Story: a daemon starts while the store and all its peers are gone. Until
-// there are news it has nothing to do, but it used up its processor's allotment
-// by looking for them without pause, and had none left for the callers that
-// came with the first news.
-TEST_F(PacketFleetTest, ADaemonWithoutNewsRests) {
+// there are updates it has nothing to do, but it used up its processor's
+// allotment by looking for them without pause, and had none left for the
+// callers that came with the first updates.
+TEST_F(PacketFleetTest, ADaemonWithoutUpdatesRests) {
   Store->setMode(StandInStore::Mode::Silent);
   for (auto &process : Processes) {
     process->signal(SIGKILL);
--- a/Models/Ownership.pml
+++ b/Models/Ownership.pml
@@ -142,7 +142,7 @@
   fi
 }
 
-/* News of a death from k to i; MemberTable::apply: an older refutation loses. */
+/* A death, sent from k to i; MemberTable::apply: an older refutation loses. */
 inline gossipDead(x, z, y) {
   if
   :: isLive(x, y) && !isLive(z, y) && known[z * N + y] >= known[x * N + y] ->
@@ -171,7 +171,7 @@
   fi
 }
 
-/* News of a refutation from k to i. */
+/* A refutation, sent from k to i. */
 inline gossipAlive(x, z, y) {
   if
   :: !isLive(x, y) && isLive(z, y) && known[z * N + y] > known[x * N + y] ->
--- a/Models/PublishedState.pml
+++ b/Models/PublishedState.pml
@@ -1,4 +1,4 @@
-/* Published state: reads of a store, news between daemons; see
+/* Published state: reads of a store, updates between daemons; see
  * docs/design/models.md.
  *
  * defects: LIST_AS_LAST_PAGE MARKS_BY_AGE TAKE_UNKNOWN GAP_COMPLETES FORGET_WITHOUT_MARK
@@ -41,7 +41,7 @@
 
 /* to, after, as, last change, state of both objects: revision * 2 + gone; zero
  * for not told. */
-chan news = [2] of { byte, byte, byte, byte, byte, byte };
+chan updates = [2] of { byte, byte, byte, byte, byte, byte };
 
 /* The true state of object o at revision r: revision and whether it is gone. */
 inline truth(o, r, rev, isGone) {
@@ -156,7 +156,7 @@
 }
 
 /* PublishedStore::completeUpTo */
-inline takeMarks(d, last, as) {
+inline mergeDigests(d, last, as) {
   if
 #ifdef MARKS_BY_AGE
   :: completeAs[d] > 0 && as > completeAs[d] -> completeAs[d] = as
@@ -241,13 +241,13 @@
   od
 }
 
-/* NewsExchange::asked: what the other one lacked when it asked; it may have
+/* StateExchange::asked: what the other one lacked when it asked; it may have
  * asked long ago. */
 active proctype Teller() {
   byte d, after, first, second;
   do
   :: atomic {
-      sendsLeft > 0 && nfull(news) ->
+      sendsLeft > 0 && nfull(updates) ->
       sendsLeft--;
       select(d : 0 .. 1);
       select(after : 0 .. REVISIONS);
@@ -273,7 +273,7 @@
             first = (held[d * 2] > after -> held[d * 2] * 2 + gone[d * 2] : 0);
             second = (held[d * 2 + 1] > after -> held[d * 2 + 1] * 2 + gone[d * 2 + 1] : 0)
          fi;
-         news!(1 - d), after, completeAs[d], lastChange[d], first, second
+         updates!(1 - d), after, completeAs[d], lastChange[d], first, second
       :: else -> skip
       fi;
       d = 0; after = 0; first = 0; second = 0
@@ -282,17 +282,17 @@
   od
 }
 
-/* Delivery: in any order, or lost. NewsExchange::told. */
+/* Delivery: in any order, or lost. StateExchange::told. */
 active proctype Network() {
   byte d, after, as, last, first, second;
   do
   :: atomic {
-      nempty(news) ->
-      news?d, after, as, last, first, second;
+      nempty(updates) ->
+      updates?d, after, as, last, first, second;
       if
-      :: nempty(news) ->
-         news!d, after, as, last, first, second;
-         news?d, after, as, last, first, second
+      :: nempty(updates) ->
+         updates!d, after, as, last, first, second;
+         updates?d, after, as, last, first, second
       :: true
       fi;
       if
@@ -300,12 +300,12 @@
       :: true ->
          merge(d, after, as, first, second);
          check(d);
-         takeMarks(d, last, as);
+         mergeDigests(d, last, as);
          check(d)
       fi;
       d = 0; after = 0; as = 0; last = 0; first = 0; second = 0
     }
-  :: sendsLeft == 0 && empty(news) && readsLeft == 0 -> break
+  :: sendsLeft == 0 && empty(updates) && readsLeft == 0 -> break
   od
 }
 
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -130,7 +130,7 @@
 
 // Story: a fleet starts before its servers do. What is published of servers is
 // known to be nothing, and that may come after the configuration. The daemon
-// must be ready, to refuse callers at once, though the last news changed
+// must be ready, to refuse callers at once, though the last updates changed
 // nothing.
 TEST_P(EachSlowerSection, IsReadyOnceItKnowsWhatIsPublished) {
   LateSource source;
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -127,9 +127,9 @@
   EXPECT_GT(bench.End.Result.RetryAfter, Duration(0));
 }
 
-// A whole service refuses. Each packet is offered to four owners, so that the
-// owners get four times the load just when they have none to spare. The budget
-// lets only a fifth more through.
+// A whole service refuses. Each packet is offered to four owners, so that
+// the owners get four times the load just when they have none to spare. The
+// budget lets only a fifth more through.
 TEST(EntryRouterTest, RetryBudgetShrinksUnderOverload) {
   EntrySettings settings;
   RouterBench bench(parts(14), settings);
--- a/UnitTests/Flows/OwnerFlowsTest.cpp
+++ b/UnitTests/Flows/OwnerFlowsTest.cpp
@@ -96,9 +96,9 @@
                               false, FlowVerdict::Elsewhere}),
     [](const auto &info) { return info.param.Name; });
 
-// A new flow is offered to a full server, refused, and goes to the next one.
-// Were the full server's owner to tell the first candidate's owner of it, later
-// packets could be sent to the full server: the flow would be broken.
+// A new flow is offered to a full server, refused, and goes to the next
+// one. Were the full server's owner to tell the first candidate's owner of it,
+// later packets could be sent to the full server: the flow would be broken.
 TEST(OwnerFlowsTest, DisplacedFlowIsToldOnceToItsFirstCandidatesOwner) {
   OwnerBench bench(parts(4), 2);
   FlowId flow = bench.flowRanked({1, 2});
--- a/UnitTests/Membership/FleetLoop.cpp
+++ b/UnitTests/Membership/FleetLoop.cpp
@@ -181,7 +181,8 @@
 void FleetLoop::step(size_t i, const MembershipEvent &event) {
   for (const auto &action : Nodes[i]->Members->step(Now, event))
     act(i, action);
-  // Once a step: the first answer to a starter carries a whole domain's news.
+  // Once a step: the first answer to a starter carries a whole domain's
+  // updates.
   if (std::exchange(Nodes[i]->MembersMoved, false))
     tellMembers(i);
 }
@@ -202,8 +203,8 @@
   if (const auto *send = std::get_if<SendTo>(&action)) {
     std::visit([&](const auto &m) { post(i, send->To, m); }, send->Content);
   } else if (const auto *change = std::get_if<MemberChanged>(&action)) {
-    node.Changes.push_back(change->News);
-    if (change->News.Vm.Domain == node.Vm.Domain)
+    node.Changes.push_back(change->Record);
+    if (change->Record.Vm.Domain == node.Vm.Domain)
       node.MembersMoved = true;
   } else if (const auto *newer = std::get_if<PeerHasNewer>(&action)) {
     post(i, newer->Peer, node.Store->request());
--- a/UnitTests/Membership/FleetLoop.h
+++ b/UnitTests/Membership/FleetLoop.h
@@ -45,7 +45,7 @@
     std::vector<std::function<void()>> Inbox;  ///< Came while paused.
     bool MembersMoved = false;                 ///< Not told on yet.
     std::vector<Gain> Gains;                   ///< All of this run.
-    std::vector<MemberNews> Changes;           ///< All of this run.
+    std::vector<MemberRecord> Changes;         ///< All of this run.
     uint64_t SentMessages = 0;                 ///< Since the start.
     uint64_t SentBytes = 0;                    ///< By SizeOf.
     std::map<int64_t, uint64_t> BytesOfSecond; ///< Sent, by virtual second.
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -38,7 +38,7 @@
       return it->second;
     // Nobody of that name is known: certainly not live.
     MemberView unknown;
-    unknown.News.State = MemberState::Dead;
+    unknown.Record.State = MemberState::Dead;
     return unknown;
   }
   bool reachable(size_t by, const std::string &domain) {
@@ -50,8 +50,9 @@
 
 // Story: a daemon leaves and says goodbye to one that has just started and
 // never heard of it. The starter ended with an exception, and its callers'
-// flows had to find another daemon. Cause: news that an unknown daemon has left
-// is of no use and not kept, and the answer looked its sender up all the same.
+// flows had to find another daemon. Cause: updates that an unknown daemon has
+// left is of no use and not kept, and the answer looked its sender up all the
+// same.
 TEST(MembershipGoodbyeTest, FromAStrangerIsPassedOver) {
   auto members =
       Membership::create(MembershipSettings(), vm("vm-1", "bern-a"), {7}, 1);
@@ -82,7 +83,7 @@
   Fleet.kill(2);
   Fleet.run(10 * Second);
   for (size_t i : {0, 1, 3, 8})
-    EXPECT_EQ(seen(i, 2).News.State, MemberState::Dead);
+    EXPECT_EQ(seen(i, 2).Record.State, MemberState::Dead);
   Fleet.list({vm(name(1), domain(1)), vm(name(2), domain(2))});
   Fleet.run(200 * Second);
   for (size_t i : {0, 1, 3, 8})
@@ -94,15 +95,15 @@
 TEST_F(MembershipTest, WakesAndRefutes) {
   Fleet.pause(2);
   Fleet.run(10 * Second);
-  EXPECT_EQ(seen(0, 2).News.State, MemberState::Dead);
+  EXPECT_EQ(seen(0, 2).Record.State, MemberState::Dead);
   Fleet.resume(2);
   Fleet.run(10 * Second);
   for (size_t i : {0, 1, 3, 8})
-    EXPECT_EQ(seen(i, 2).News.State, MemberState::Alive);
-  EXPECT_GT(seen(0, 2).News.Refutation, 0U);
+    EXPECT_EQ(seen(i, 2).Record.State, MemberState::Alive);
+  EXPECT_GT(seen(0, 2).Record.Refutation, 0U);
   // Its own sleep was no reason to suspect the others.
-  EXPECT_EQ(seen(2, 0).News.State, MemberState::Alive);
-  EXPECT_EQ(seen(0, 1).News.State, MemberState::Alive);
+  EXPECT_EQ(seen(2, 0).Record.State, MemberState::Alive);
+  EXPECT_EQ(seen(0, 1).Record.State, MemberState::Alive);
 }
 
 // One link between two daemons is broken. Others reach both, so nobody is
@@ -114,8 +115,8 @@
   });
   Fleet.run(60 * Second);
   for (size_t i = 0; i < 9; ++i)
-    for (const MemberNews &news : Fleet.nodes()[i]->Changes)
-      EXPECT_NE(news.State, MemberState::Dead) << news.Vm.Id.str();
+    for (const MemberRecord &updates : Fleet.nodes()[i]->Changes)
+      EXPECT_NE(updates.State, MemberState::Dead) << updates.Vm.Id.str();
 }
 
 // A failure domain is cut off for ten minutes. Behind the cut everybody goes
@@ -130,8 +131,8 @@
   EXPECT_TRUE(reachable(8, "bern-b"));
   EXPECT_FALSE(reachable(0, "thun-a"));
   EXPECT_TRUE(seen(8, 0).Unreachable);
-  EXPECT_NE(seen(8, 0).News.State, MemberState::Dead);
-  EXPECT_EQ(seen(0, 1).News.State, MemberState::Alive);
+  EXPECT_NE(seen(8, 0).Record.State, MemberState::Dead);
+  EXPECT_EQ(seen(0, 1).Record.State, MemberState::Alive);
   Fleet.setCut({});
   Fleet.run(15 * Second);
   for (size_t i = 0; i < 9; ++i)
@@ -155,7 +156,7 @@
   auto made = Membership::create({}, vm("vm-1", "bern-a"), {1}, 1);
   ASSERT_TRUE(made.ok());
   Ping ping{5, {vm("vm-2", "bern-a"), {1}, 0, MemberState::Alive}, {}};
-  ping.News.Members = {{vm("vm-1", "bern-a"), {1}, 0, MemberState::Dead}};
+  ping.Updates.Members = {{vm("vm-1", "bern-a"), {1}, 0, MemberState::Dead}};
   auto actions = (*made)->step(TimePoint(Second),
                                MessageReceived{vm("vm-2", "bern-a"), ping});
   ASSERT_FALSE(actions.empty());
@@ -164,7 +165,7 @@
 
 // The answer of a peer that holds us for dead or for another run proves that
 // the peer lives, but it renews nothing.
-TEST(MembershipStepTest, AnswerOfOneWhoHoldsUsForDeadRenewsNothing) {
+TEST(MembershipStepTest, AnAckOfAPeerThatHoldsUsForDeadRenewsNothing) {
   for (bool dead : {false, true}) {
     auto made = Membership::create({}, vm("vm-1", "bern-a"), {1}, 1);
     ASSERT_TRUE(made.ok());
@@ -176,7 +177,7 @@
             {vm("vm-2", "bern-a"), {1}, 0, MemberState::Alive},
             {}};
     if (dead)
-      ack.News.Members = {{vm("vm-1", "bern-a"), {1}, 0, MemberState::Dead}};
+      ack.Updates.Members = {{vm("vm-1", "bern-a"), {1}, 0, MemberState::Dead}};
     auto actions =
         (*made)->step(now, MessageReceived{vm("vm-2", "bern-a"), ack});
     bool renewed =
@@ -215,13 +216,13 @@
 }
 
 struct Pair {
-  MemberNews Lower;  ///< Loses.
-  MemberNews Higher; ///< Wins.
+  MemberRecord Lower;  ///< Loses.
+  MemberRecord Higher; ///< Wins.
 };
 
-class NewsOrderTest : public testing::TestWithParam<Pair> {};
+class StateOrderTest : public testing::TestWithParam<Pair> {};
 
-TEST_P(NewsOrderTest, HigherWinsWhateverTheOrder) {
+TEST_P(StateOrderTest, HigherWinsWhateverTheOrder) {
   const Pair &pair = GetParam();
   EXPECT_TRUE(isHigher(pair.Higher, pair.Lower));
   EXPECT_FALSE(isHigher(pair.Lower, pair.Higher));
@@ -229,7 +230,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Orders, NewsOrderTest,
+    Orders, StateOrderTest,
     testing::Values(Pair{{{}, {1}, 0, MemberState::Alive},
                          {{}, {1}, 0, MemberState::Suspect}},
                     Pair{{{}, {1}, 0, MemberState::Suspect},
--- a/UnitTests/Membership/OwnershipTrackerTest.cpp
+++ b/UnitTests/Membership/OwnershipTrackerTest.cpp
@@ -18,7 +18,7 @@
       VmId name("vm-" + std::to_string(i));
       MemberMap both{member(name), member(Other.Id)};
       if (OwnershipMap::create(both).ownerOf(Server, Domain)->Id == name)
-        Self = both.at(name).News.Vm;
+        Self = both.at(name).Record.Vm;
     }
     Tracker =
         std::move(OwnershipTracker::create(Settings, Self, {1}, Now)).value();
@@ -27,7 +27,7 @@
   }
   static std::pair<const VmId, MemberView> member(const VmId &id) {
     MemberView view;
-    view.News = {{id, Domain, {}, false}, {1}, 0, MemberState::Alive};
+    view.Record = {{id, Domain, {}, false}, {1}, 0, MemberState::Alive};
     return {id, view};
   }
   std::vector<OwnershipAction> step(const OwnershipEvent &event) {
@@ -155,7 +155,7 @@
   OwnershipHandOver question = meet();
   step(HandOverReceived{answerTo(question)});
   MemberMap leaving{member(Self.Id), member(Other.Id)};
-  leaving.at(Self.Id).News.Vm.Leaving = true;
+  leaving.at(Self.Id).Record.Vm.Leaving = true;
   step(MembersChanged{leaving});
   OwnershipHandOver theirs = question;
   theirs.From = Other.Id;
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -321,9 +321,9 @@
   }
 }
 
-// Story: a daemon starts, and callers' packets are there before the first news
-// of routes. Dropped, they would cost each caller 200 ms.
-TEST(PacketRouterTest, OpeningsWaitForTheFirstNews) {
+// Story: a daemon starts, and callers' packets are there before the first
+// updates of routes. Dropped, they would cost each caller 200 ms.
+TEST(PacketRouterTest, OpeningsWaitForTheFirstState) {
   PacketBench bench;
   bench.opens(1);
   EXPECT_TRUE(bench.Out.Sent.empty());
@@ -333,8 +333,8 @@
 }
 
 // Story: a process was frozen for seconds. What it holds may be old, so new
-// flows wait for news; open ones go on.
-TEST(PacketRouterTest, AfterAPauseOpeningsWaitForNews) {
+// flows wait for updates; open ones go on.
+TEST(PacketRouterTest, AfterAPauseOpeningsWaitForARefresh) {
   PacketBench bench;
   bench.usual();
   bench.opens(1);
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -6,10 +6,10 @@
 
 const EntryVm Vm{VmId("vm-1"), DomainId("bern-a"), {"10.0.0.1", 7100}, true};
 const StateDigest Held{{7}, 0xFFFFFFFFFFFFFFFFULL};
-const MemberNews Sender{Vm, {12}, 3, MemberState::Suspect};
+const MemberRecord Sender{Vm, {12}, 3, MemberState::Suspect};
 const ServerCondition Condition{ServerId("booking-01"), InstanceId("run-9"),
                                 true, 44};
-const Gossip News{Held, {Sender}, {Condition}};
+const Gossip Updates{Held, {Sender}, {Condition}};
 const KeyDigest Key{1, 2};
 
 ObjectState deletedServer() {
@@ -132,9 +132,9 @@
 
 std::vector<PeerMessage> samplePeerMessages() {
   return {Hello{Vm, {12}},
-          Ping{1, Sender, News},
-          PingRequest{2, Vm, News},
-          Ack{3, VmId("vm-2"), Sender, News},
+          Ping{1, Sender, Updates},
+          PingRequest{2, Vm, Updates},
+          Ack{3, VmId("vm-2"), Sender, Updates},
           StateRequest{Held, {1, 0, 3}},
           StateUpdate{Held, {deletedServer(), domain(), service(), server()}},
           OwnershipHandOver{VmId("vm-1"),
@@ -162,7 +162,7 @@
                          1,
                          true,
                          {VmId("vm-1"), VmId("vm-2")}},
-          PublishedOffer{{{{12}, {10}, 77, Duration(3)}}, true},
+          PublishedDigest{{{{12}, {10}, 77, Duration(3)}}, true},
           PublishedRequest{{{12}, {11}}},
           publishedUpdate()};
 }
--- a/UnitTests/Published/NewsFleet.h
+++ b/UnitTests/Published/ExchangeFleet.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_UNITTESTS_PUBLISHED_NEWSFLEET_H
-#define BALSAMRACK_UNITTESTS_PUBLISHED_NEWSFLEET_H
+#ifndef BALSAMRACK_UNITTESTS_PUBLISHED_EXCHANGEFLEET_H
+#define BALSAMRACK_UNITTESTS_PUBLISHED_EXCHANGEFLEET_H
 
 #include <functional>
 #include <memory>
@@ -7,19 +7,19 @@
 #include <string>
 #include <vector>
 
-#include "Balsamrack/Published/NewsExchange.h"
+#include "Balsamrack/Published/StateExchange.h"
 
 namespace balsamrack {
 
-/// Exchanges of news in one process under virtual time, a publishing service
+/// Exchanges of updates in one process under virtual time, a publishing service
 /// that fails as it is told to, and messages that can be cut.
-class NewsFleet {
+class ExchangeFleet {
 public:
   enum class Source { Good, Refuses, Silent };
   struct Node {
     EntryVm Vm;
     std::unique_ptr<SeededRandom> Random;
-    std::unique_ptr<NewsExchange> Exchange;
+    std::unique_ptr<StateExchange> Exchange;
     bool Running = true;
     bool CutOff = false; ///< From all peers.
     Source Reads = Source::Good;
@@ -28,7 +28,8 @@
     uint64_t Messages = 0;
   };
 
-  NewsFleet(size_t domains, size_t perDomain, uint64_t seed) : Random(seed) {
+  ExchangeFleet(size_t domains, size_t perDomain, uint64_t seed)
+      : Random(seed) {
     for (size_t d = 0; d < domains; ++d)
       for (size_t i = 0; i < perDomain; ++i) {
         std::string id =
@@ -47,8 +48,8 @@
     Node &node = Nodes[i];
     node.Running = true;
     node.Random = std::make_unique<SeededRandom>(Random.next());
-    node.Exchange =
-        std::make_unique<NewsExchange>(NewsSettings(), node.Vm, *node.Random);
+    node.Exchange = std::make_unique<StateExchange>(StateExchangeSettings(),
+                                                    node.Vm, *node.Random);
     ++Lives;
     meet();
   }
@@ -165,34 +166,34 @@
       ++i;
     return i;
   }
-  void act(size_t i, const std::vector<NewsAction> &actions) {
-    for (const NewsAction &action : actions) {
-      if (const auto *send = std::get_if<SendNews>(&action))
+  void act(size_t i, const std::vector<StateExchangeAction> &actions) {
+    for (const StateExchangeAction &action : actions) {
+      if (const auto *send = std::get_if<SendStateMessage>(&action))
         for (const EntryVm &to : send->To)
           deliver(i, to, *send);
-      else if (const auto *read = std::get_if<ReadNews>(&action))
+      else if (const auto *read = std::get_if<StartRead>(&action))
         begin(i, read->What);
     }
   }
-  void deliver(size_t from, const EntryVm &peer, const SendNews &send) {
+  void deliver(size_t from, const EntryVm &peer, const SendStateMessage &send) {
     ++Nodes[from].Messages;
     if (const auto *update = std::get_if<PublishedUpdate>(&send.What))
       for (const PublishedChanges &it : update->Changes)
         ObjectsTold += it.Objects.size();
     size_t to = indexOf(peer.Id);
-    SendNews copy{{}, send.What};
+    SendStateMessage copy{{}, send.What};
     after(Duration(2'000), [this, from, to, copy] {
       if (!Nodes[to].Running || Nodes[from].CutOff || Nodes[to].CutOff ||
           !Reaches(Nodes[from], Nodes[to]))
         return;
-      NewsExchange &at = *Nodes[to].Exchange;
+      StateExchange &at = *Nodes[to].Exchange;
       const EntryVm &sender = Nodes[from].Vm;
-      if (const auto *offer = std::get_if<PublishedOffer>(&copy.What))
-        act(to, at.offered(Now, sender, *offer));
+      if (const auto *offer = std::get_if<PublishedDigest>(&copy.What))
+        act(to, at.handleDigest(Now, sender, *offer));
       else if (const auto *request = std::get_if<PublishedRequest>(&copy.What))
-        act(to, at.asked(Now, sender, *request));
+        act(to, at.handleRequest(Now, sender, *request));
       else if (const auto *update = std::get_if<PublishedUpdate>(&copy.What))
-        act(to, at.told(Now, sender, *update));
+        act(to, at.handleUpdate(Now, sender, *update));
     });
   }
   void begin(size_t i, const PublishedRead &read) {
@@ -260,4 +261,4 @@
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_UNITTESTS_PUBLISHED_NEWSFLEET_H
+#endif // BALSAMRACK_UNITTESTS_PUBLISHED_EXCHANGEFLEET_H
--- a/UnitTests/Published/PublishedStoreTest.cpp
+++ b/UnitTests/Published/PublishedStoreTest.cpp
@@ -165,11 +165,11 @@
 
 // Story: daemons hear of changes in any order, twice, in lists and in parts.
 // In the end all hold the same, and on the way none ever goes back.
-TEST(PublishedStoreTest, AnyOrderOfNewsEndsTheSame) {
+TEST(PublishedStoreTest, AnyOrderOfUpdatesEndsTheSame) {
   for (uint64_t seed = 1; seed <= 200; ++seed) {
     SeededRandom random(seed);
     PublishedStore truth;
-    std::vector<PublishedChanges> news;
+    std::vector<PublishedChanges> updates;
     uint64_t at = 1;
     truth.merge({Section, {}, {at}, {}});
     for (int i = 0; i < 40; ++i) {
@@ -183,15 +183,15 @@
       }
       change.As = {at};
       truth.merge(change);
-      news.push_back(change);
+      updates.push_back(change);
       if (random.below(5) == 0)
-        news.push_back(truth.changesAfter(Section, {}));
+        updates.push_back(truth.changesAfter(Section, {}));
     }
     PublishedStore store;
     std::map<std::string, uint64_t> seen;
     for (int i = 0; i < 300; ++i) {
-      size_t pick = random.below(news.size());
-      for (const PublishedObject &object : store.merge(news[pick])) {
+      size_t pick = random.below(updates.size());
+      for (const PublishedObject &object : store.merge(updates[pick])) {
         EXPECT_GT(object.At.Value, seen[object.Name]);
         seen[object.Name] = object.At.Value;
       }
--- a/UnitTests/Published/NewsExchangeTest.cpp
+++ b/UnitTests/Published/StateExchangeTest.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "UnitTests/Published/NewsFleet.h"
+#include "UnitTests/Published/ExchangeFleet.h"
 
 namespace balsamrack {
 namespace {
@@ -9,12 +9,12 @@
 /// A change must be in force everywhere within this.
 constexpr Duration InForce{3'000'000};
 
-using Source = NewsFleet::Source;
+using Source = ExchangeFleet::Source;
 
 /// Who can't do what while the change is made.
 struct Trouble {
   const char *Name;
-  std::function<void(NewsFleet &)> Begin;
+  std::function<void(ExchangeFleet &)> Begin;
 };
 
 class EachTrouble : public testing::TestWithParam<Trouble> {};
@@ -23,7 +23,7 @@
 // publish, or has just lost its reader. No daemon may go on with old routes.
 TEST_P(EachTrouble, AChangeIsInForceEverywhereInTime) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    NewsFleet fleet(4, 2, seed);
+    ExchangeFleet fleet(4, 2, seed);
     fleet.run(Second * 3);
     ASSERT_TRUE(fleet.allHold(1)) << "seed " << seed;
     GetParam().Begin(fleet);
@@ -36,48 +36,49 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Troubles, EachTrouble,
-    testing::Values(Trouble{"None", [](NewsFleet &) {}},
+    testing::Values(Trouble{"None", [](ExchangeFleet &) {}},
                     Trouble{"AThirdIsTurnedAway",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (size_t i : {0, 3, 5})
                                 f.Nodes[i].Reads = Source::Refuses;
                             }},
                     Trouble{"AThirdHearsNothing",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (size_t i : {1, 2, 7})
                                 f.Nodes[i].Reads = Source::Silent;
                             }},
                     Trouble{"OnlyOneReads",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (size_t i = 1; i < f.Nodes.size(); ++i)
                                 f.Nodes[i].Reads = Source::Refuses;
                             }},
                     Trouble{"TheReadersDie",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (size_t i = 0; i < f.Nodes.size(); ++i)
                                 if (f.Nodes[i].Exchange->reads())
                                   f.kill(i);
                             }},
                     Trouble{"TheReadersAreTurnedAway",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (auto &node : f.Nodes)
                                 if (node.Exchange->reads())
                                   node.Reads = Source::Refuses;
                             }},
                     Trouble{"TheReadersHearNothing",
-                            [](NewsFleet &f) {
+                            [](ExchangeFleet &f) {
                               for (auto &node : f.Nodes)
                                 if (node.Exchange->reads())
                                   node.Reads = Source::Silent;
                             }},
-                    Trouble{"OneIsCutOffFromItsPeers",
-                            [](NewsFleet &f) { f.Nodes[0].CutOff = true; }}),
+                    Trouble{
+                        "OneIsCutOffFromItsPeers",
+                        [](ExchangeFleet &f) { f.Nodes[0].CutOff = true; }}),
     [](const auto &info) { return std::string(info.param.Name); });
 
 // Story: a machine is replaced while the publishing service turns it away. It
 // learns all from its peers.
-TEST(NewsExchangeTest, AFreshDaemonLearnsFromItsPeers) {
-  NewsFleet fleet(2, 2, 1);
+TEST(StateExchangeTest, AFreshDaemonLearnsFromItsPeers) {
+  ExchangeFleet fleet(2, 2, 1);
   fleet.run(Second * 3);
   fleet.Nodes[0].Reads = Source::Refuses;
   fleet.restart(0);
@@ -87,8 +88,8 @@
 
 // Load: a release replaces servers, ten changes a second. Each reader would
 // come back for each of them, at the price of a call.
-TEST(NewsExchangeTest, ManyChangesOfServersCostFewReads) {
-  NewsFleet fleet(5, 4, 1);
+TEST(StateExchangeTest, ManyChangesOfServersCostFewReads) {
+  ExchangeFleet fleet(5, 4, 1);
   fleet.run(Second * 4);
   for (auto &node : fleet.Nodes)
     node.Calls = 0;
@@ -107,8 +108,8 @@
 // lists the service by itself; told to all, each listing would cost its domain
 // and some others a copy of everything, which grows with the fleet and with
 // what is published.
-TEST(NewsExchangeTest, StartsCostFewCopiesOfEverything) {
-  NewsFleet fleet(5, 17, 1);
+TEST(StateExchangeTest, StartsCostFewCopiesOfEverything) {
+  ExchangeFleet fleet(5, 17, 1);
   fleet.run(Second * 5);
   EXPECT_LE(fleet.ObjectsTold, fleet.Nodes.size() * 2);
   fleet.ObjectsTold = 0;
@@ -133,7 +134,7 @@
 
 // Load: the fleet grows, the store's rate does not.
 TEST_P(EachSize, CostsADaemonTheSame) {
-  NewsFleet fleet(GetParam().Domains, GetParam().PerDomain, 1);
+  ExchangeFleet fleet(GetParam().Domains, GetParam().PerDomain, 1);
   fleet.run(Second * 5);
   uint64_t calls = 0, messages = 0;
   for (auto &node : fleet.Nodes)
@@ -162,7 +163,7 @@
 
 /// Calls of all daemons of a fleet in calm times.
 uint64_t callsOfFleet(size_t domains, size_t perDomain) {
-  NewsFleet fleet(domains, perDomain, 1);
+  ExchangeFleet fleet(domains, perDomain, 1);
   fleet.run(Second * 8);
   for (auto &node : fleet.Nodes)
     node.Calls = 0;
@@ -175,14 +176,14 @@
 
 // Guards against a load of the publishing service that grows with the daemons
 // or with their failure domains.
-TEST(NewsExchangeTest, AFleetOfHundredsReadsAsOftenAsASmallOne) {
+TEST(StateExchangeTest, AFleetOfHundredsReadsAsOftenAsASmallOne) {
   EXPECT_LE(callsOfFleet(6, 49), 2 * callsOfFleet(3, 3));
 }
 
 // Guards against a fleet that starts as a whole, in which each daemon takes
 // itself for the reader until it knows the others.
-TEST(NewsExchangeTest, AStartOfAllCostsFewWatches) {
-  NewsFleet fleet(6, 49, 1);
+TEST(StateExchangeTest, AStartOfAllCostsFewWatches) {
+  ExchangeFleet fleet(6, 49, 1);
   fleet.run(Second * 3);
   uint64_t watches = 0;
   for (auto &node : fleet.Nodes)
@@ -193,7 +194,8 @@
 /// Which messages do not pass.
 struct Cut {
   const char *Name;
-  std::function<bool(const NewsFleet::Node &, const NewsFleet::Node &)> Reaches;
+  std::function<bool(const ExchangeFleet::Node &, const ExchangeFleet::Node &)>
+      Reaches;
 };
 
 class EachCut : public testing::TestWithParam<Cut> {};
@@ -202,7 +204,7 @@
 // the publishing service still answers it.
 TEST_P(EachCut, AChangeIsInForceOnAllSides) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
-    NewsFleet fleet(6, 4, seed);
+    ExchangeFleet fleet(6, 4, seed);
     fleet.run(Second * 5);
     ASSERT_TRUE(fleet.allHold(1)) << "seed " << seed;
     fleet.Reaches = GetParam().Reaches;
@@ -252,7 +254,7 @@
 /// Calls of all daemons of a fleet in an outage of eight seconds and a release
 /// of ten after it.
 uint64_t callsInOutage(size_t domains, size_t perDomain, bool ofAll) {
-  NewsFleet fleet(domains, perDomain, 1);
+  ExchangeFleet fleet(domains, perDomain, 1);
   fleet.run(Second * 8);
   for (auto &node : fleet.Nodes) {
     node.Calls = 0;
@@ -290,11 +292,11 @@
 
 // Guards against a service that drops its history in a release: each listing
 // that takes the place of a watch went to the whole fleet as it was.
-TEST(NewsExchangeTest, AListingAfterALostHistoryTellsWhatChanged) {
+TEST(StateExchangeTest, AListingAfterALostHistoryTellsWhatChanged) {
   constexpr int Servers = 200, Changes = 8;
   // Two readers, each to two relays of a domain, and twice for answers.
   constexpr size_t CopiesOfAll = 8;
-  NewsFleet fleet(4, 8, 1);
+  ExchangeFleet fleet(4, 8, 1);
   for (int i = 0; i < Servers; ++i)
     fleet.serverChanges("i-" + std::to_string(i));
   fleet.run(Second * 6);
@@ -324,7 +326,7 @@
 // Guards against daemons that spin while they wait: for the service to come
 // back, or to know who else is there.
 TEST_P(EachStart, ADaemonRests) {
-  NewsFleet fleet(2, 2, 1);
+  ExchangeFleet fleet(2, 2, 1);
   for (size_t i = 0; i < fleet.Nodes.size(); ++i) {
     fleet.Nodes[i].Reads = GetParam().Reads;
     fleet.restart(i);
