--- a/Balsamrack/Daemon/ControlPart.cpp
+++ b/Balsamrack/Daemon/ControlPart.cpp
@@ -158,22 +158,22 @@
     const auto due = Members->nextWakeup();
     if (!due || *due <= now)
       stepMembership(now, MembershipTicked{});
-    noteLapse(now);
+    noteExpiry(now);
     stepOwnership(now, OwnershipTicked{});
   }
   settle();
 }
 
-void ControlPart::noteLapse(TimePoint now) {
-  if (LapseToEnd || Fence.state(now) != AuthorityState::Renewed)
+void ControlPart::noteExpiry(TimePoint now) {
+  if (ExpiryToEnd || Fence.state(now) != AuthorityState::Renewed)
     return;
   // Whatever was owned may have another owner by now: win it anew. The fence
   // stays closed until applyOwned() has taken it from the owner part, which
   // would otherwise dispatch to it once more.
-  LapseToEnd = Fence.lapses();
+  ExpiryToEnd = Fence.expiries();
   Watch.log(Part::Membership, Severity::Warning,
-            "Authority had lapsed. All ownership is won anew.");
-  stepOwnership(now, AuthorityLapsed{});
+            "Authority had expired. All ownership is won anew.");
+  stepOwnership(now, AuthorityExpired{});
   OwnedChanged = true;
 }
 
@@ -247,11 +247,11 @@
   } else if (const auto *renewed = std::get_if<LeaseRenewed>(&action)) {
     Fence.heard(renewed->Peer, renewed->SentAt, now);
   } else if (std::get_if<HeldForDead>(&action)) {
-    stepOwnership(now, AuthorityLapsed{});
+    stepOwnership(now, AuthorityExpired{});
   } else if (std::get_if<Superseded>(&action)) {
     Watch.log(Part::Membership, Severity::Error,
               "A later run of this VM is there. This one ends.");
-    stepOwnership(now, AuthorityLapsed{});
+    stepOwnership(now, AuthorityExpired{});
     IsSuperseded = true;
   } else if (const auto *explain = std::get_if<Explain>(&action)) {
     Watch.decided(explain->What);
@@ -428,11 +428,11 @@
   OwnedServers owned;
   std::vector<Lose> losses;
   std::vector<ServerId> gained;
-  std::optional<uint64_t> lapse;
+  std::optional<uint64_t> expiry;
   {
     std::lock_guard<std::mutex> guard(Lock);
     OwnedChanged = false;
-    lapse = std::exchange(LapseToEnd, std::nullopt);
+    expiry = std::exchange(ExpiryToEnd, std::nullopt);
     owned = ownedServers();
     losses.swap(Losses);
     gained.swap(Gained);
@@ -440,8 +440,8 @@
   for (const ServerId &it : gained)
     Listener.onGained(it);
   Listener.onOwned(owned);
-  if (lapse)
-    Fence.restart(*lapse, Time.now());
+  if (expiry)
+    Fence.restart(*expiry, Time.now());
 
   // Only now can it be said that nothing more leaves for what was lost.
   for (const Lose &it : losses) {
--- a/Balsamrack/Daemon/ControlPart.h
+++ b/Balsamrack/Daemon/ControlPart.h
@@ -88,7 +88,7 @@
   void beginLeave();
   /// True when nothing is owned that another daemon could take. Thread-safe.
   bool released() const;
-  /// Says goodbye. Precondition: released(). Thread-safe.
+  /// Announces that it leaves. Precondition: released(). Thread-safe.
   void finishLeave();
 
   /// The view in force; null before the first one. Thread-safe.
@@ -109,7 +109,7 @@
   void onOwnershipAction(const OwnershipAction &action);
   void membersChanged(TimePoint now);
   void configurationChanged(TimePoint now);
-  void noteLapse(TimePoint now);
+  void noteExpiry(TimePoint now);
   void rememberServers(const ConfigurationView &view);
   OwnedServers ownedServers() const;
   absl::StatusOr<std::shared_ptr<const RoutingView>> buildView(TimePoint now);
@@ -148,9 +148,9 @@
   bool ViewStale = true;     ///< applyView is due.
   TimePoint ViewAt;          ///< When the view was last built.
   bool Leaving = false;
-  bool IsSuperseded = false;          ///< Not told yet.
-  std::optional<uint64_t> LapseToEnd; ///< Fence.restart() is due after
-                                      ///< applyOwned().
+  bool IsSuperseded = false;           ///< Not told yet.
+  std::optional<uint64_t> ExpiryToEnd; ///< Fence.restart() is due after
+                                       ///< applyOwned().
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Daemon/Daemon.h
+++ b/Balsamrack/Daemon/Daemon.h
@@ -35,8 +35,8 @@
   ~Daemon() override;
 
   /// Leaves gracefully: hands over what it owns, ends what is in progress, says
-  /// goodbye. Blocks, at most for the settings' shutdown limit. True when all
-  /// was in order. Not thread-safe; call once.
+  /// leave message. Blocks, at most for the settings' shutdown limit. True when
+  /// all was in order. Not thread-safe; call once.
   bool shutDown();
 
   absl::Status send(const EntryVm &to, PeerMessage message) override;
--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -26,7 +26,7 @@
     return "replaced";
   if (server.DomainOut)
     return "domain-out";
-  if (server.Presence == ServerPresence::Lapsed)
+  if (server.Presence == ServerPresence::Expired)
     return "lapsed";
   return server.What->Server.Mode == ServerMode::Active ? "active" : "draining";
 }
@@ -167,7 +167,7 @@
       PacketEvent event;
       event.Kind = PacketEventKind::Dropped;
       event.Why = PacketReason::Malformed;
-      Watch.tell(event);
+      Watch.report(event);
     });
     Received += n;
     if (n < PacketSocket::Batch)
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -29,7 +29,7 @@
   ServiceId Service;       ///< For which service.
   DomainId Domain;         ///< Where it stands.
   Address At;              ///< Where it listens.
-  const char *Mode = "";   ///< active, draining, lapsed, gone, replaced or
+  const char *Mode = "";   ///< active, draining, expired, gone, replaced or
                            ///< domain-out.
   uint32_t InProgress = 0; ///< Own flows that it works on.
   double Share = 0;        ///< Of its slots, this daemon's.
@@ -84,7 +84,7 @@
   void forward(const PacketTarget &to, const uint8_t *packet,
                size_t n) override;
   void reset(const PacketHead &head) override;
-  void tell(const PacketEvent &event) override { Watch.tell(event); }
+  void report(const PacketEvent &event) override { Watch.report(event); }
 
   void run();
   void wait();
--- a/Balsamrack/Daemon/PacketOperatorPart.cpp
+++ b/Balsamrack/Daemon/PacketOperatorPart.cpp
@@ -32,20 +32,21 @@
 }
 
 /// Sentences about what is remembered of a flow.
-json rememberedOf(const FlowExplanation &told) {
+json rememberedOf(const FlowExplanation &explanation) {
   json all = json::array();
-  if (!told.Known)
+  if (!explanation.Known)
     return all;
   json entry = sentence(absl::StrCat(
-      "the flow is ", flowStageName(told.Stage), " at ", told.Home.str(),
-      "; first seen ", millis(told.Age).dump(), " ms ago, last packet ",
-      millis(told.Quiet).dump(), " ms ago, its opening went to ", told.Tries,
+      "the flow is ", flowStageName(explanation.Stage), " at ",
+      explanation.Home.str(), "; first seen ", millis(explanation.Age).dump(),
+      " ms ago, last packet ", millis(explanation.Quiet).dump(),
+      " ms ago, its opening went to ", explanation.Tries,
       " servers from here"));
-  entry["stage"] = flowStageName(told.Stage);
-  entry["server"] = told.Home.str();
-  entry["age_ms"] = millis(told.Age);
-  entry["quiet_ms"] = millis(told.Quiet);
-  entry["tries"] = told.Tries;
+  entry["stage"] = flowStageName(explanation.Stage);
+  entry["server"] = explanation.Home.str();
+  entry["age_ms"] = millis(explanation.Age);
+  entry["quiet_ms"] = millis(explanation.Quiet);
+  entry["tries"] = explanation.Tries;
   all.push_back(entry);
   return all;
 }
@@ -67,17 +68,17 @@
 }
 
 /// Sentences about where a new flow would go, the best servers first.
-json placingOf(const FlowExplanation &told) {
+json placingOf(const FlowExplanation &explanation) {
   json all = json::array();
-  if (told.Refused != PacketReason::None) {
+  if (explanation.Refused != PacketReason::None) {
     json entry = sentence(absl::StrCat(
-        "a new flow would get nothing: ", packetReasonName(told.Refused),
-        " (configuration ", told.Version, ")"));
-    entry["reason"] = packetReasonName(told.Refused);
+        "a new flow would get nothing: ", packetReasonName(explanation.Refused),
+        " (configuration ", explanation.Version, ")"));
+    entry["reason"] = packetReasonName(explanation.Refused);
     all.push_back(entry);
   }
   for (bool best : {true, false})
-    for (const ExplainedCandidate &it : told.Candidates)
+    for (const ExplainedCandidate &it : explanation.Candidates)
       if (it.Best == best)
         all.push_back(candidateOf(it));
   return all;
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -76,7 +76,7 @@
   return hash % LoggedFlows == 0;
 }
 
-void PacketTelemetry::tell(const PacketEvent &event) {
+void PacketTelemetry::report(const PacketEvent &event) {
   const char *kind = packetEventName(event.Kind);
   const char *why = packetReasonName(event.Why);
   Numbers->count(FlowEvents, {{"event", kind}, {"reason", why}});
--- a/Balsamrack/Daemon/PacketTelemetry.h
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -26,7 +26,7 @@
   PacketTelemetry(const Clock &clock, EventLog &log);
 
   /// Counts and logs what the router did.
-  void tell(const PacketEvent &event);
+  void report(const PacketEvent &event);
   /// Writes a line.
   void log(const LogLine &line) { Log.write(line); }
   /// Writes a line about an error, with its step and peer.
--- a/Balsamrack/Daemon/StatePart.h
+++ b/Balsamrack/Daemon/StatePart.h
@@ -54,7 +54,7 @@
   void requestAfterPause();
   /// This daemon will end soon: peers shall not count on it.
   void leave();
-  /// Says goodbye and ends the thread. Idempotent.
+  /// Announces that it leaves and ends the thread. Idempotent.
   void stop();
 
 private:
--- a/Balsamrack/Decisions/ColdStartRamp.cpp
+++ b/Balsamrack/Decisions/ColdStartRamp.cpp
@@ -50,8 +50,8 @@
 }
 
 void ColdStartRamp::startsFromIdle(TimePoint now) {
-  if (Settings.Enabled && now - LastProof > Settings.IdleDoubt)
-    Doubted = true;
+  if (Settings.Enabled && now - LastProof > Settings.IdleSuspicion)
+    Suspected = true;
 }
 
 void ColdStartRamp::returned(TimePoint now) {
@@ -64,7 +64,7 @@
 
 const char *ColdStartRamp::answered(TimePoint now,
                                     std::optional<Duration> took) {
-  Doubted = false;
+  Suspected = false;
   if (took)
     Last.push_back(*took);
   if (Last.size() > DriftWindow)
--- a/Balsamrack/Decisions/ColdStartRamp.h
+++ b/Balsamrack/Decisions/ColdStartRamp.h
@@ -37,7 +37,7 @@
 /// servers of a trial fell over by that, so two groups in a row are asked for.
 /// After eight times sixteen answers the limit rises anyway, or a server that
 /// has become slower for good would stay at one. A step that was followed by a
-/// fall doubles the time (to 16 s at most) and this patience, so that a server
+/// fall doubles the time (to 16 s at most) and this timeout, so that a server
 /// that stays cold for long is not pushed over again and again. Until warm
 /// answers were seen here a step takes five seconds: a server that is cold from
 /// its first answer shows nothing that it could be told by, and half of a
@@ -85,7 +85,7 @@
   const char *faltered(TimePoint now, const char *why);
 
   /// Requests that may be in progress, in [1, slots].
-  uint32_t limit() const { return Doubted ? 1 : Limit; }
+  uint32_t limit() const { return Suspected ? 1 : Limit; }
   /// A dispatch starts while nothing else is in progress.
   void startsFromIdle(TimePoint now);
   /// A dispatch ended, however it did: until now a restart would have shown.
@@ -121,7 +121,7 @@
   uint32_t GoodGroups = 0;     ///< Fast enough ones in a row.
   TimePoint StepSince;         ///< When this limit began.
   TimePoint LastProof;         ///< Up to here a restart would have shown.
-  bool Doubted = false;        ///< May have been restarted while idle.
+  bool Suspected = false;      ///< May have been restarted while idle.
   Duration StepTime;           ///< See stepTime().
   InstanceId Instance;         ///< See instance().
   InstanceId Trusted;          ///< See trust(); empty once used.
--- a/Balsamrack/Decisions/SilenceDetector.cpp
+++ b/Balsamrack/Decisions/FailureDetector.cpp
@@ -1,4 +1,4 @@
-#include "Balsamrack/Decisions/SilenceDetector.h"
+#include "Balsamrack/Decisions/FailureDetector.h"
 
 #include <algorithm>
 
@@ -12,17 +12,17 @@
 
 } // namespace
 
-SilenceDetector::Record *SilenceDetector::find(size_t server) {
+FailureDetector::Record *FailureDetector::find(size_t server) {
   return server < Servers.size() && Servers[server].Used ? &Servers[server]
                                                          : nullptr;
 }
 
-const SilenceDetector::Record *SilenceDetector::find(size_t server) const {
+const FailureDetector::Record *FailureDetector::find(size_t server) const {
   return server < Servers.size() && Servers[server].Used ? &Servers[server]
                                                          : nullptr;
 }
 
-void SilenceDetector::add(size_t server, const DomainId &domain) {
+void FailureDetector::add(size_t server, const DomainId &domain) {
   if (find(server))
     return;
   auto [it, isNew] = DomainById.try_emplace(domain, Domains.size());
@@ -35,7 +35,7 @@
   Servers[server].Domain = it->second;
 }
 
-void SilenceDetector::remove(size_t server) {
+void FailureDetector::remove(size_t server) {
   Record *record = find(server);
   if (!record)
     return;
@@ -45,19 +45,19 @@
   updateAsked(server);
 }
 
-void SilenceDetector::updateAsked(size_t server) {
+void FailureDetector::updateAsked(size_t server) {
   if (Servers[server].Used && askedByItself(Servers[server]))
     Asked.insert(server);
   else
     Asked.erase(server);
 }
 
-void SilenceDetector::setDaemons(size_t daemons) {
+void FailureDetector::setDaemons(size_t daemons) {
   FleetHold = std::min(Settings.HoldPerDaemon * static_cast<int64_t>(daemons),
                        Settings.LongestFleetHold);
 }
 
-Duration SilenceDetector::longestHold(const Record &record) const {
+Duration FailureDetector::longestHold(const Record &record) const {
   // What is found of one server of a silent domain counts for all of it, and
   // few of them are asked.
   return Domains[record.Domain].Silent
@@ -65,21 +65,21 @@
              : std::max(Settings.LongestHold, FleetHold);
 }
 
-void SilenceDetector::setDomainSilent(DomainRecord &whole, bool silent) {
+void FailureDetector::setDomainSilent(DomainRecord &whole, bool silent) {
   if (whole.Silent == silent)
     return;
   whole.Silent = silent;
   SilentDomains += silent ? 1 : -1;
 }
 
-void SilenceDetector::doubtOwnLink(TimePoint now) {
+void FailureDetector::suspectOwnLink(TimePoint now) {
   UnsureUntil = now + Settings.BlindSpan;
   for (Record &record : Servers)
     if (record.Witnessed < Settings.LostAttempts)
       record.Witnessed = 0;
 }
 
-void SilenceDetector::setProved(Record &record, bool proved) {
+void FailureDetector::setProved(Record &record, bool proved) {
   if (record.Proved == proved)
     return;
   record.Proved = proved;
@@ -87,14 +87,14 @@
   whole.Proved += proved ? 1 : -1;
 }
 
-void SilenceDetector::setAttemptFailed(Record &record, bool failed) {
+void FailureDetector::setAttemptFailed(Record &record, bool failed) {
   if (record.AttemptFailed == failed)
     return;
   record.AttemptFailed = failed;
   Domains[record.Domain].Failed += failed ? 1 : -1;
 }
 
-bool SilenceDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
+bool FailureDetector::unanswered(TimePoint now, size_t server, TimePoint sentAt,
                                  uint32_t caller) {
   Record *found = find(server);
   if (!found || found->LastAnswer >= sentAt)
@@ -104,7 +104,7 @@
     return false;
   record.LastCaller = caller;
   ++record.Unanswered;
-  doubted(now, server, sentAt);
+  suspect(now, server, sentAt);
   if (record.Silent || record.Unanswered < Settings.UnansweredLimit)
     return false;
   bool relapse = record.LastAnswer != TimePoint{} &&
@@ -116,14 +116,14 @@
                     : Settings.FirstHold;
   record.Silent = true;
   record.SilentSince = sentAt;
-  record.DoubtedSince = {};
+  record.SuspectedSince = {};
   record.NextAttempt = now + (relapse ? record.Hold : Duration{0});
   updateAsked(server);
   judgeDomain(now, record.Domain);
   return true;
 }
 
-void SilenceDetector::judgeDomain(TimePoint now, size_t domain) {
+void FailureDetector::judgeDomain(TimePoint now, size_t domain) {
   DomainRecord &whole = Domains[domain];
   uint32_t silent = 0;
   for (size_t server : Asked) {
@@ -141,11 +141,11 @@
   whole.Hold = Settings.FirstHold;
 }
 
-bool SilenceDetector::asked(const Record &record) const {
+bool FailureDetector::asked(const Record &record) const {
   return askedByItself(record) || Domains[record.Domain].Silent;
 }
 
-void SilenceDetector::doubted(TimePoint now, size_t server, TimePoint sentAt) {
+void FailureDetector::suspect(TimePoint now, size_t server, TimePoint sentAt) {
   Record *record = find(server);
   if (!record || record->LastReached >= sentAt)
     return;
@@ -156,21 +156,21 @@
                  std::max(now, record->AskedAt + Settings.FirstHold));
   if (asked(*record))
     return;
-  record->DoubtedSince = sentAt;
+  record->SuspectedSince = sentAt;
   record->WithDomain = false;
   record->Failed = 0;
   record->NextAttempt = now;
   updateAsked(server);
 }
 
-void SilenceDetector::doubtDomain(TimePoint now, size_t domain,
-                                  TimePoint since) {
-  uint32_t left = Settings.DoubtedTogether;
+void FailureDetector::suspectDomain(TimePoint now, size_t domain,
+                                    TimePoint since) {
+  uint32_t left = Settings.SuspectsProbedTogether;
   for (size_t other = 0; other < Servers.size(); ++other) {
     Record &record = Servers[other];
     if (!record.Used || record.Domain != domain || asked(record))
       continue;
-    doubted(now, other, since);
+    suspect(now, other, since);
     if (!asked(record))
       continue;
     record.WithDomain = true;
@@ -179,7 +179,7 @@
   }
 }
 
-void SilenceDetector::arrived(size_t server, TimePoint sentAt) {
+void FailureDetector::arrived(size_t server, TimePoint sentAt) {
   LastProof = std::max(LastProof, sentAt);
   Record *found = find(server);
   if (!found)
@@ -188,20 +188,20 @@
   if (record.Silent && sentAt < record.SilentSince)
     return;
   record.LastReached = std::max(record.LastReached, sentAt);
-  if (record.DoubtedSince == TimePoint{} || sentAt < record.DoubtedSince)
+  if (record.SuspectedSince == TimePoint{} || sentAt < record.SuspectedSince)
     return;
-  record.DoubtedSince = {};
+  record.SuspectedSince = {};
   updateAsked(server);
 }
 
-bool SilenceDetector::answered(TimePoint now, size_t server) {
+bool FailureDetector::answered(TimePoint now, size_t server) {
   Record *found = find(server);
   if (!found)
     return false;
   Record &record = *found;
   record.LastAnswer = now;
   record.LastReached = now;
-  record.DoubtedSince = {};
+  record.SuspectedSince = {};
   record.Unanswered = 0;
   record.LastCaller = 0;
   DomainRecord &whole = Domains[record.Domain];
@@ -223,18 +223,18 @@
   return was;
 }
 
-bool SilenceDetector::connected(TimePoint now, size_t server) {
+bool FailureDetector::connected(TimePoint now, size_t server) {
   Record *found = find(server);
   if (!found)
     return false;
   Record &record = *found;
   LastProof = std::max(LastProof, record.AskedAt);
   if (record.Failed > 0 || record.AttemptFailed)
-    doubtOwnLink(now);
+    suspectOwnLink(now);
   if (record.Silent || Domains[record.Domain].Silent)
     return answered(now, server);
   record.LastReached = now;
-  record.DoubtedSince = {};
+  record.SuspectedSince = {};
   updateAsked(server);
   record.Failed = 0;
   record.Witnessed = 0;
@@ -242,7 +242,7 @@
   return false;
 }
 
-bool SilenceDetector::attemptFailed(TimePoint now, size_t server, bool sure,
+bool FailureDetector::attemptFailed(TimePoint now, size_t server, bool sure,
                                     bool awaited) {
   Record *found = find(server);
   if (!found)
@@ -250,26 +250,26 @@
   if (!asked(*found)) {
     // It was to accompany others.
     if (sure)
-      doubtOwnLink(now);
+      suspectOwnLink(now);
     return false;
   }
   Record &record = *found;
   bool was = record.Silent;
-  TimePoint since = was ? record.SilentSince : record.DoubtedSince;
+  TimePoint since = was ? record.SilentSince : record.SuspectedSince;
   // Else it may be this daemon's own link that is full or cut.
   bool witnessed = sure && LastProof >= record.AskedAt && now >= UnsureUntil;
   bool proved = witnessed || (sure && now - since >= Settings.BlindSpan);
   record.Witnessed += witnessed ? 1 : 0;
-  if (!was && record.DoubtedSince != TimePoint{} &&
-      !settleDoubt(now, record, proved))
+  if (!was && record.SuspectedSince != TimePoint{} &&
+      !settleSuspicion(now, record, proved))
     return false;
   if (!was) {
     record.Silent = true;
     record.SilentSince =
-        record.DoubtedSince == TimePoint{} ? now : record.DoubtedSince;
+        record.SuspectedSince == TimePoint{} ? now : record.SuspectedSince;
     record.Hold = Settings.FirstHold;
   }
-  record.DoubtedSince = {};
+  record.SuspectedSince = {};
   setAttemptFailed(record, record.AttemptFailed || sure);
   setProved(record, record.Proved || proved);
   // Until it is known whether its open flows are lost, it is asked quickly.
@@ -288,22 +288,23 @@
   return !was;
 }
 
-bool SilenceDetector::settleDoubt(TimePoint now, Record &record, bool sure) {
+bool FailureDetector::settleSuspicion(TimePoint now, Record &record,
+                                      bool sure) {
   record.Failed += sure ? 1 : 0;
   // Domains fail and are cut off as a whole: its others are asked meanwhile.
   if (record.Failed == 1 && !record.WithDomain)
-    doubtDomain(now, record.Domain, record.DoubtedSince);
+    suspectDomain(now, record.Domain, record.SuspectedSince);
   // One that could not be made waits for those that are under way.
   record.NextAttempt = sure ? now : now + Settings.FirstHold;
   return record.Failed >= Settings.FailedAttempts;
 }
 
-bool SilenceDetector::silent(size_t server) const {
+bool FailureDetector::silent(size_t server) const {
   const Record *record = find(server);
   return record && (record->Silent || Domains[record->Domain].Silent);
 }
 
-bool SilenceDetector::unreachable(size_t server) const {
+bool FailureDetector::unreachable(size_t server) const {
   const Record *record = find(server);
   if (!record)
     return false;
@@ -313,12 +314,12 @@
   return whole.Silent && whole.Failed >= Settings.DomainLimit;
 }
 
-bool SilenceDetector::lost(size_t server) const {
+bool FailureDetector::lost(size_t server) const {
   const Record *record = find(server);
   return record && record->Silent && record->Witnessed >= Settings.LostAttempts;
 }
 
-bool SilenceDetector::outOfReach(size_t server) const {
+bool FailureDetector::outOfReach(size_t server) const {
   const Record *record = find(server);
   if (!record)
     return false;
@@ -328,18 +329,18 @@
   return whole.Silent && whole.Proved >= Settings.DomainLimit;
 }
 
-bool SilenceDetector::domainSilent(const DomainId &domain) const {
+bool FailureDetector::domainSilent(const DomainId &domain) const {
   auto it = DomainById.find(domain);
   return it != DomainById.end() && Domains[it->second].Silent;
 }
 
-bool SilenceDetector::leftToDomain(const Record &record) const {
+bool FailureDetector::leftToDomain(const Record &record) const {
   // Else a request there waits to be told whether it is lost.
   return Domains[record.Domain].Silent && record.AttemptFailed &&
          record.Hold > Settings.FirstHold;
 }
 
-void SilenceDetector::takeDue(TimePoint now, size_t server,
+void FailureDetector::takeDue(TimePoint now, size_t server,
                               std::vector<size_t> &due) {
   Record &record = Servers[server];
   record.AskedAt = now;
@@ -348,12 +349,12 @@
   due.push_back(server);
 }
 
-void SilenceDetector::takeDueOfDomain(TimePoint now, size_t domain,
+void FailureDetector::takeDueOfDomain(TimePoint now, size_t domain,
                                       std::vector<size_t> &due) {
   DomainRecord &whole = Domains[domain];
   whole.NextAttempts = now + whole.Hold;
   whole.Hold = std::min(whole.Hold * 2, Settings.LongestHold);
-  uint32_t left = Settings.DoubtedTogether;
+  uint32_t left = Settings.SuspectsProbedTogether;
   // Each round goes on where the last one ended, so that the living are found.
   size_t first = whole.LastAsked + 1;
   for (size_t i = 0; i < Servers.size() && left > 0; ++i) {
@@ -368,7 +369,7 @@
   }
 }
 
-std::vector<size_t> SilenceDetector::due(TimePoint now) {
+std::vector<size_t> FailureDetector::due(TimePoint now) {
   std::vector<size_t> found;
   for (size_t server : Asked) {
     const Record &record = Servers[server];
@@ -383,7 +384,7 @@
   return found;
 }
 
-std::optional<size_t> SilenceDetector::control(TimePoint now, size_t asked) {
+std::optional<size_t> FailureDetector::control(TimePoint now, size_t asked) {
   const Record &first = Servers.at(asked);
   if (first.Witnessed >= Settings.LostAttempts)
     return std::nullopt;
@@ -406,7 +407,7 @@
   return best;
 }
 
-TimePoint SilenceDetector::nextDue() const {
+TimePoint FailureDetector::nextDue() const {
   TimePoint next(Duration::max());
   for (size_t server : Asked)
     if (!leftToDomain(Servers[server]))
@@ -419,7 +420,7 @@
   return next;
 }
 
-size_t SilenceDetector::silentServers() const {
+size_t FailureDetector::silentServers() const {
   return static_cast<size_t>(
       std::count_if(Asked.begin(), Asked.end(),
                     [this](size_t it) { return Servers[it].Silent; }));
--- a/Balsamrack/Decisions/SilenceDetector.h
+++ b/Balsamrack/Decisions/FailureDetector.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
-#define BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
+#ifndef BALSAMRACK_DECISIONS_FAILUREDETECTOR_H
+#define BALSAMRACK_DECISIONS_FAILUREDETECTOR_H
 
 #include <cstddef>
 #include <cstdint>
@@ -13,8 +13,8 @@
 
 namespace balsamrack {
 
-/// Limits of the silence detector.
-struct SilenceSettings {
+/// Limits of the failure detector.
+struct FailureDetectorSettings {
   uint32_t UnansweredLimit = 2; ///< Callers in a row without an answer. One
                                 ///< packet in forty is lost on a bad link, so
                                 ///< two in a row by chance are one in 1,600.
@@ -30,22 +30,22 @@
                                         ///< often.
   Duration RelapseSpan{2'000'000}; ///< Silent again so soon after it was found
                                    ///< well: its hold goes on doubling.
-  uint32_t FailedAttempts = 2; ///< Connection attempts in a row that a doubted
-                               ///< server must leave unanswered to be silent:
-                               ///< one packet alone may be lost.
-  uint32_t LostAttempts = 5;   ///< In a row, each while the own link worked,
-                               ///< FirstHold apart: open flows are given up. A
-                               ///< link that is full loses every third packet,
-                               ///< so that five in a row and no attempt beside
-                               ///< them are one in 2,000.
+  uint32_t FailedAttempts = 2;     ///< Connection attempts in a row that a
+                               ///< suspected server must leave unanswered to be
+                               ///< silent: one packet alone may be lost.
+  uint32_t LostAttempts = 5; ///< In a row, each while the own link worked,
+                             ///< FirstHold apart: open flows are given up. A
+                             ///< link that is full loses every third packet,
+                             ///< so that five in a row and no attempt beside
+                             ///< them are one in 2,000.
   Duration BlindSpan{1'000'000}; ///< Attempts that fail while nothing that was
                                  ///< sent since arrived anywhere may fail for
                                  ///< this daemon's own link; for so long they
                                  ///< settle nothing.
-  uint32_t DoubtedTogether = 4;  ///< Servers of a silent or doubted domain that
-                                 ///< are asked at a time; enough to judge it,
-                                 ///< and no burst where a domain has a
-                                 ///< thousand.
+  uint32_t SuspectsProbedTogether = 4; ///< Servers of a silent or suspected
+                                       ///< domain that are asked at a time;
+                                       ///< enough to judge it, and no burst
+                                       ///< where a domain has a thousand.
 };
 
 /// Which servers leave openings unanswered, by what this daemon itself sees.
@@ -57,10 +57,10 @@
 /// the openings that would find out about each of the others.
 ///
 /// A silent server is asked by a connection attempt of ours (due()), never by a
-/// caller's opening. So is one that is only doubted: something that was sent to
-/// it shows no sign of having arrived. Doubt alone changes nothing for callers;
-/// it is settled within two attempts, where waiting for further callers'
-/// openings takes as long as there are few of them.
+/// caller's opening. So is one that is only suspected: something that was sent
+/// to it shows no sign of having arrived. Suspicion alone changes nothing for
+/// callers; it is settled within two attempts, where waiting for further
+/// callers' openings takes as long as there are few of them.
 ///
 /// A failed attempt says something of the server only when something that was
 /// sent no earlier has arrived elsewhere: a small VM's link that is full for a
@@ -68,9 +68,9 @@
 /// accompanied by one to another server (control()), and one that fails where
 /// another one connects a moment later, or an accompanying one that fails,
 /// shows that failures say nothing for a while. Deterministic. Not thread-safe.
-class SilenceDetector {
+class FailureDetector {
 public:
-  explicit SilenceDetector(const SilenceSettings &settings)
+  explicit FailureDetector(const FailureDetectorSettings &settings)
       : Settings(settings) {}
 
   /// There are \p daemons in the fleet. Guards against servers that are down
@@ -89,11 +89,11 @@
                   uint32_t caller);
   /// What was sent to \p server at \p sentAt shows no sign of having arrived:
   /// it is asked at once, unless something sent later did arrive.
-  void doubted(TimePoint now, size_t server, TimePoint sentAt);
+  void suspect(TimePoint now, size_t server, TimePoint sentAt);
   /// \p server answered an opening; true when it was silent.
   bool answered(TimePoint now, size_t server);
   /// \p server took a connection attempt of ours; true when it was silent. One
-  /// that was only doubted is reachable, but need not answer openings.
+  /// that was only suspected is reachable, but need not answer openings.
   bool connected(TimePoint now, size_t server);
   /// What was sent to \p server at \p sentAt has arrived there. Of a silent
   /// server that says nothing unless it was sent since.
@@ -145,14 +145,14 @@
     bool Silent = false;        ///< Gets no new flows.
     bool AttemptFailed = false; ///< And took no connection since.
     bool Proved = false; ///< And that was no moment's trouble of our own link.
-    uint32_t Witnessed = 0;  ///< Attempts in a row that failed while our own
-                             ///< link worked.
-    TimePoint DoubtedSince;  ///< First that did not arrive; zero: none.
-    uint32_t Failed = 0;     ///< Attempts in a row while it is doubted.
-    bool WithDomain = false; ///< Doubted only for another one of its domain.
-    TimePoint AskedAt;       ///< When due() named it last.
-    TimePoint NextAttempt;   ///< When to ask it, while asked().
-    Duration Hold{0};        ///< Between attempts.
+    uint32_t Witnessed = 0;   ///< Attempts in a row that failed while our own
+                              ///< link worked.
+    TimePoint SuspectedSince; ///< First that did not arrive; zero: none.
+    uint32_t Failed = 0;      ///< Attempts in a row while it is suspected.
+    bool WithDomain = false;  ///< Suspected only for another one of its domain.
+    TimePoint AskedAt;        ///< When due() named it last.
+    TimePoint NextAttempt;    ///< When to ask it, while asked().
+    Duration Hold{0};         ///< Between attempts.
   };
   /// What is known of one domain.
   struct DomainRecord {
@@ -168,16 +168,16 @@
   Record *find(size_t server);
   const Record *find(size_t server) const;
   void judgeDomain(TimePoint now, size_t domain);
-  void doubtDomain(TimePoint now, size_t domain, TimePoint since);
-  bool settleDoubt(TimePoint now, Record &record, bool sure);
+  void suspectDomain(TimePoint now, size_t domain, TimePoint since);
+  bool settleSuspicion(TimePoint now, Record &record, bool sure);
   void setProved(Record &record, bool proved);
   void setAttemptFailed(Record &record, bool failed);
   void setDomainSilent(DomainRecord &whole, bool silent);
-  void doubtOwnLink(TimePoint now);
+  void suspectOwnLink(TimePoint now);
 
   bool asked(const Record &record) const;
   bool askedByItself(const Record &record) const {
-    return record.Silent || record.DoubtedSince != TimePoint{};
+    return record.Silent || record.SuspectedSince != TimePoint{};
   }
   void updateAsked(size_t server);
   bool leftToDomain(const Record &record) const;
@@ -185,7 +185,7 @@
   void takeDue(TimePoint now, size_t server, std::vector<size_t> &due);
   void takeDueOfDomain(TimePoint now, size_t domain, std::vector<size_t> &due);
 
-  SilenceSettings Settings;              ///< Limits.
+  FailureDetectorSettings Settings;      ///< Limits.
   std::vector<Record> Servers;           ///< By server.
   std::vector<DomainRecord> Domains;     ///< By Record::Domain.
   std::map<DomainId, size_t> DomainById; ///< Indices of Domains.
@@ -200,4 +200,4 @@
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_DECISIONS_SILENCEDETECTOR_H
+#endif // BALSAMRACK_DECISIONS_FAILUREDETECTOR_H
--- a/Balsamrack/Decisions/LateOpenings.cpp
+++ b/Balsamrack/Decisions/LateOpenings.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// Callers give an attempt up when its opening has no answer for so long.
-constexpr Duration AttemptPatience{1'400'000};
-/// One part in so many of the patience is left for the work itself.
-constexpr int PartsOfPatience = 4;
+constexpr Duration AttemptTimeout{1'400'000};
+/// One part in so many of the timeout is left for the work itself.
+constexpr int TimeoutParts = 4;
 /// One before the work, one after it.
 constexpr int Handshakes = 2;
 /// Of a request's time, should a handshake be measured longer than that.
@@ -20,10 +20,10 @@
 Duration lateOpeningWait(const OpeningTimes &times) {
   if (times.Objective == Duration{0} || times.Age < times.Objective)
     return Duration{0};
-  Duration patience = AttemptPatience;
+  Duration timeout = AttemptTimeout;
   if (times.Timeout > Duration{0})
-    patience = std::min(patience, times.Timeout);
-  Duration most = patience - patience / PartsOfPatience;
+    timeout = std::min(timeout, times.Timeout);
+  Duration most = timeout - timeout / TimeoutParts;
   return std::max(Duration{0}, most - times.Age);
 }
 
--- a/Balsamrack/Decisions/LateOpenings.h
+++ b/Balsamrack/Decisions/LateOpenings.h
@@ -23,7 +23,7 @@
 /// be served in time, as in adaptive LIFO queues (Maurer 2015).
 ///
 /// Limits: an opening whose objective is not over never waits, nor one without
-/// an objective. A waiting one goes on while a quarter of its caller's patience
+/// an objective. A waiting one goes on while a quarter of its caller's timeout
 /// is left, whether slots are free or not, so that it is late but not lost.
 /// Pure, thread-safe.
 Duration lateOpeningWait(const OpeningTimes &times);
--- a/Balsamrack/Decisions/OpeningChoice.h
+++ b/Balsamrack/Decisions/OpeningChoice.h
@@ -13,11 +13,11 @@
 /// Whether a server should get new flows at all. A later rank is used only
 /// while no server of an earlier one is left.
 enum class OpeningRank {
-  Usual,   ///< Nothing speaks against it.
-  Doubted, ///< Its failure domain has left a copy of this very opening
-           ///< unanswered: domains fail and are cut off as a whole.
-  Lapsed,  ///< Its entry has just disappeared.
-  Silent,  ///< It, or its whole failure domain, leaves openings unanswered.
+  Usual,     ///< Nothing speaks against it.
+  Suspected, ///< Its failure domain has left a copy of this very opening
+             ///< unanswered: domains fail and are cut off as a whole.
+  Expired,   ///< Its entry has just disappeared.
+  Silent,    ///< It, or its whole failure domain, leaves openings unanswered.
 };
 
 /// What the choice looks at, for one server.
--- a/Balsamrack/Decisions/OwnerContext.h
+++ b/Balsamrack/Decisions/OwnerContext.h
@@ -31,7 +31,7 @@
   SeededRandom Random;       ///< For the jitter of refusals.
   OwnerOutput Out;           ///< Actions of the step in progress.
   bool MayDispatch = false;  ///< The owner's authority is in force.
-  TimePoint LapsedAt;        ///< Since when it is not, if it is not.
+  TimePoint ExpiredAt;       ///< Since when it is not, if it is not.
   bool ShuttingDown = false; ///< The daemon leaves.
 
   /// Until when requests wait for the authority to come back; nothing while it
@@ -39,7 +39,7 @@
   std::optional<TimePoint> unsureFrom() const {
     if (MayDispatch)
       return std::nullopt;
-    return LapsedAt + Settings.Waits.AuthorityWait;
+    return ExpiredAt + Settings.Waits.AuthorityWait;
   }
 };
 
--- a/Balsamrack/Decisions/OwnerEvents.h
+++ b/Balsamrack/Decisions/OwnerEvents.h
@@ -19,7 +19,7 @@
   enum class Origin {
     Founded,    ///< Nobody's, or nobody knows: the worst case.
     HandedOver, ///< The old owner passed it on by message.
-    TakenOver,  ///< The old owner's authority has lapsed.
+    TakenOver,  ///< The old owner's authority has expired.
   };
   BackendServer Server;          ///< As the ticket in force describes it.
   bool DomainInService = true;   ///< False once operators took its domain out.
@@ -27,7 +27,7 @@
   ServerCondition LastKnown;     ///< What an earlier owner said of it.
   uint32_t InProgress = 0;       ///< Requests that the owner before left there.
   TimePoint DispatchAllowedFrom; ///< End of the wait for an earlier owner's
-                                 ///< authority to lapse.
+                                 ///< authority to expire.
 };
 
 /// The whole new set of servers that this daemon owns of the service. A repeat
@@ -70,7 +70,7 @@
   InstanceId Instance;     ///< Run of its process; may be empty.
 };
 
-/// This daemon's authority over its servers lapsed or came back.
+/// This daemon's authority over its servers expired or came back.
 struct AuthorityChanged {
   bool MayDispatch = false; ///< True while the daemon is surely the owner.
 };
--- a/Balsamrack/Decisions/OwnerSettings.cpp
+++ b/Balsamrack/Decisions/OwnerSettings.cpp
@@ -28,7 +28,7 @@
       {Ramp.SuccessesPerStep > 0, "Ramp.SuccessesPerStep is zero"},
       {Ramp.LeastStepTime >= zero && Ramp.MostStepTime >= Ramp.LeastStepTime,
        "Ramp.LeastStepTime is not in [0, MostStepTime]"},
-      {Ramp.IdleDoubt > zero, "Ramp.IdleDoubt is not positive"},
+      {Ramp.IdleSuspicion > zero, "Ramp.IdleSuspicion is not positive"},
       {Ramp.SlowFactor >= 1 && Ramp.DriftFactor >= Ramp.SlowFactor &&
            Ramp.JumpFactor >= Ramp.DriftFactor,
        "Ramp factors are not 1 <= SlowFactor <= DriftFactor <= JumpFactor"},
--- a/Balsamrack/Decisions/OwnerSettings.h
+++ b/Balsamrack/Decisions/OwnerSettings.h
@@ -34,7 +34,7 @@
   Duration BlindStepTime{5'000'000}; ///< The same while no warm answers of
                                      ///< the server were seen yet.
   Duration MostStepTime{16'000'000}; ///< Bound of its doubling.
-  Duration IdleDoubt{2'000'000};     ///< Without an answer for so long, a warm
+  Duration IdleSuspicion{2'000'000}; ///< Without an answer for so long, a warm
                                      ///< server is asked for one first.
   double SlowFactor = 1.5;  ///< A group of answers with a mean over this times
                             ///< the warm one doesn't count.
--- a/Balsamrack/Decisions/ServersOfService.cpp
+++ b/Balsamrack/Decisions/ServersOfService.cpp
@@ -13,7 +13,7 @@
                                                 const OwnerEvent &event) {
   // An owner has no authority before it was given any.
   if (Now == TimePoint())
-    Context.LapsedAt = now;
+    Context.ExpiredAt = now;
   Now = now;
   Context.Out.begin(now, Context.Ticket);
   std::visit([this](const auto &e) { on(e); }, event);
@@ -76,7 +76,7 @@
 
 void ServersOfService::on(const AuthorityChanged &event) {
   if (Context.MayDispatch && !event.MayDispatch)
-    Context.LapsedAt = Now;
+    Context.ExpiredAt = Now;
   Context.MayDispatch = event.MayDispatch;
   on(Ticked());
 }
--- a/Balsamrack/Membership/MembershipEvents.h
+++ b/Balsamrack/Membership/MembershipEvents.h
@@ -31,7 +31,7 @@
 
 /// This daemon shuts down gracefully: it takes no new ownership.
 struct MembershipLeaving {};
-/// This daemon has released all that it owned: it says goodbye.
+/// This daemon has released all that it owned: it Announces that it leaves.
 struct MembershipLeft {};
 
 /// All that a Membership reacts to.
@@ -72,7 +72,7 @@
   TimePoint SentAt; ///< When the answered probe was sent.
 };
 /// Others held this daemon for dead: whoever they made owner may dispatch soon.
-/// Give the OwnershipTracker an AuthorityLapsed before the next action is
+/// Give the OwnershipTracker an AuthorityExpired before the next action is
 /// carried out, since that tells the others that this daemon lives.
 struct HeldForDead {};
 /// A later run under this daemon's name is known: the VM was replaced while
--- a/Balsamrack/Membership/MembershipMessages.h
+++ b/Balsamrack/Membership/MembershipMessages.h
@@ -17,7 +17,7 @@
   Alive,   ///< Answers probes.
   Suspect, ///< Did not answer, directly or through others; may still refute.
   Dead,    ///< Did not refute in time.
-  Left,    ///< Said goodbye.
+  Left,    ///< Announced that it leaves.
 };
 
 /// State of one daemon. Ordered by Run, then Refutation, then State: the
--- a/Balsamrack/Membership/OwnershipEvents.h
+++ b/Balsamrack/Membership/OwnershipEvents.h
@@ -35,8 +35,8 @@
 struct ConditionNoted {
   ServerCondition Condition; ///< As its owner saw it.
 };
-/// The fence had a lapse: all ownership has to be won anew.
-struct AuthorityLapsed {};
+/// The fence had a expiry: all ownership has to be won anew.
+struct AuthorityExpired {};
 /// Time has passed.
 struct OwnershipTicked {};
 
@@ -44,7 +44,7 @@
 using OwnershipEvent =
     std::variant<MembersChanged, ListedPeers, DomainServersChanged,
                  HandOverReceived, ServerStopped, ConditionNoted,
-                 AuthorityLapsed, OwnershipTicked>;
+                 AuthorityExpired, OwnershipTicked>;
 
 /// How a daemon came to own a server.
 enum class GainedHow {
--- a/Balsamrack/Membership/OwnershipFence.cpp
+++ b/Balsamrack/Membership/OwnershipFence.cpp
@@ -8,7 +8,7 @@
   switch (state) {
   case AuthorityState::Held:
     return "held";
-  case AuthorityState::Lapsed:
+  case AuthorityState::Expired:
     return "lapsed";
   case AuthorityState::Renewed:
     return "renewed";
@@ -32,19 +32,19 @@
 
 void OwnershipFence::extend(TimePoint until) {
   Until = std::max(Until, until);
-  if (!Lapsed)
+  if (!Expired)
     DispatchUntil.store(Until.time_since_epoch().count(),
                         std::memory_order_release);
 }
 
-void OwnershipFence::noteLapse(TimePoint now) {
-  // A renewal after a lapse may run out too, before restart was called.
-  if (now < Until || (Lapsed && !RenewedSince))
+void OwnershipFence::noteExpiry(TimePoint now) {
+  // A renewal after a expiry may run out too, before restart was called.
+  if (now < Until || (Expired && !RenewedSince))
     return;
-  Lapsed = true;
+  Expired = true;
   RenewedSince = false;
-  LapsedAt = now;
-  ++Lapses;
+  ExpiredAt = now;
+  ++Expiries;
   DispatchUntil.store(0, std::memory_order_release);
 }
 
@@ -52,30 +52,30 @@
   std::lock_guard<std::mutex> guard(Lock);
   bool slept = now - LastTick > Settings.LeaseTime;
   LastTick = now;
-  noteLapse(now);
+  noteExpiry(now);
   if (!Peers.empty())
     return;
-  // Alone: nobody renews. After a lapse, whoever may have taken over meanwhile
+  // Alone: nobody renews. After a expiry, whoever may have taken over meanwhile
   // and is not known yet gets the time that its lease and its updates need.
-  if (Lapsed && !RenewedSince) {
+  if (Expired && !RenewedSince) {
     if (slept)
-      LapsedAt = now;
-    RenewedSince = now - LapsedAt >= Settings.takeoverWait();
+      ExpiredAt = now;
+    RenewedSince = now - ExpiredAt >= Settings.takeoverWait();
   }
-  if (!Lapsed || RenewedSince)
+  if (!Expired || RenewedSince)
     extend(now + Settings.LeaseTime);
 }
 
 void OwnershipFence::heard(const VmId &peer, TimePoint sentAt, TimePoint now) {
   std::lock_guard<std::mutex> guard(Lock);
-  noteLapse(now);
+  noteExpiry(now);
   if (Peers.count(peer) == 0)
     return;
   // Guards against the answer to a probe from before a pause, read after it:
   // it shows that the peer held us for alive then, not now.
-  if (Lapsed && sentAt < LapsedAt)
+  if (Expired && sentAt < ExpiredAt)
     return;
-  if (Lapsed)
+  if (Expired)
     RenewedSince = true;
   extend(sentAt + Settings.LeaseTime);
 }
@@ -83,7 +83,7 @@
 void OwnershipFence::peersChanged(const std::vector<VmId> &peers,
                                   TimePoint now) {
   std::lock_guard<std::mutex> guard(Lock);
-  noteLapse(now);
+  noteExpiry(now);
   Peers = std::set<VmId>(peers.begin(), peers.end());
 }
 
@@ -94,22 +94,22 @@
 
 AuthorityState OwnershipFence::state(TimePoint now) const {
   std::lock_guard<std::mutex> guard(Lock);
-  if (now >= Until || (Lapsed && !RenewedSince))
-    return AuthorityState::Lapsed;
-  return Lapsed ? AuthorityState::Renewed : AuthorityState::Held;
+  if (now >= Until || (Expired && !RenewedSince))
+    return AuthorityState::Expired;
+  return Expired ? AuthorityState::Renewed : AuthorityState::Held;
 }
 
-uint64_t OwnershipFence::lapses() const {
+uint64_t OwnershipFence::expiries() const {
   std::lock_guard<std::mutex> guard(Lock);
-  return Lapses;
+  return Expiries;
 }
 
-void OwnershipFence::restart(uint64_t lapse, TimePoint now) {
+void OwnershipFence::restart(uint64_t expiry, TimePoint now) {
   std::lock_guard<std::mutex> guard(Lock);
-  noteLapse(now);
-  if (!Lapsed || !RenewedSince || lapse != Lapses)
+  noteExpiry(now);
+  if (!Expired || !RenewedSince || expiry != Expiries)
     return;
-  Lapsed = false;
+  Expired = false;
   extend(Until);
 }
 
--- a/Balsamrack/Membership/OwnershipFence.h
+++ b/Balsamrack/Membership/OwnershipFence.h
@@ -18,8 +18,8 @@
 /// May this daemon dispatch at all?
 enum class AuthorityState {
   Held,    ///< A domain peer renewed the lease, or there is no other daemon.
-  Lapsed,  ///< Paused or unheard for too long; nobody has renewed since.
-  Renewed, ///< Renewed after a lapse, but all ownership has to be won anew:
+  Expired, ///< Paused or unheard for too long; nobody has renewed since.
+  Renewed, ///< Renewed after a expiry, but all ownership has to be won anew:
            ///< tell the tracker, then call restart.
 };
 
@@ -33,9 +33,9 @@
 /// end (MembershipSettings::takeoverWait), no dispatch passes this check after
 /// that. A pause between the check and the send stays: docs/UNPROVED.md.
 ///
-/// After a lapse: state() becomes Renewed once a peer answered a probe that was
-/// sent after it. The daemon then gives its OwnershipTracker an
-/// AuthorityLapsed, and calls restart(lapses()).
+/// After a expiry: state() becomes Renewed once a peer answered a probe that
+/// was sent after it. The daemon then gives its OwnershipTracker an
+/// AuthorityExpired, and calls restart(expiries()).
 class OwnershipFence {
 public:
   /// Authority starts out as held (the tracker starts with no server). Error
@@ -56,27 +56,27 @@
   bool mayDispatch(TimePoint now) const;
   /// The state, for the daemon's tick and for operators. Thread-safe.
   AuthorityState state(TimePoint now) const;
-  /// Number of lapses so far. Thread-safe.
-  uint64_t lapses() const;
+  /// Number of expiries so far. Thread-safe.
+  uint64_t expiries() const;
   /// All ownership has been put back to be won anew: authority holds again,
-  /// unless there has been another lapse since \p lapse. Thread-safe.
-  void restart(uint64_t lapse, TimePoint now);
+  /// unless there has been another expiry since \p expiry. Thread-safe.
+  void restart(uint64_t expiry, TimePoint now);
 
 private:
   OwnershipFence(const MembershipSettings &settings, TimePoint now);
-  void noteLapse(TimePoint now);
+  void noteExpiry(TimePoint now);
   void extend(TimePoint until);
 
   const MembershipSettings Settings;  ///< Times.
   mutable std::mutex Lock;            ///< Guards all but DispatchUntil.
   std::atomic<int64_t> DispatchUntil; ///< End of the authority, microseconds;
-                                      ///< zero while lapsed.
+                                      ///< zero while expired.
   TimePoint LastTick;                 ///< Zero before the first one.
   TimePoint Until;                    ///< End of the lease.
-  TimePoint LapsedAt;                 ///< Start of the last lapse.
-  bool Lapsed = false;                ///< A lapse that restart has not ended.
-  bool RenewedSince = false;          ///< Renewed after LapsedAt.
-  uint64_t Lapses = 0;                ///< How many.
+  TimePoint ExpiredAt;                ///< Start of the last expiry.
+  bool Expired = false;               ///< A expiry that restart has not ended.
+  bool RenewedSince = false;          ///< Renewed after ExpiredAt.
+  uint64_t Expiries = 0;              ///< How many.
   std::set<VmId> Peers;               ///< Live daemons of the own domain.
 };
 
--- a/Balsamrack/Membership/OwnershipTracker.cpp
+++ b/Balsamrack/Membership/OwnershipTracker.cpp
@@ -93,7 +93,7 @@
     known = event.Condition;
 }
 
-void OwnershipTracker::on(const AuthorityLapsed &) {
+void OwnershipTracker::on(const AuthorityExpired &) {
   restartQuestions();
   for (auto &[id, entry] : Servers)
     if (entry.In == Phase::Owned)
--- a/Balsamrack/Membership/OwnershipTracker.h
+++ b/Balsamrack/Membership/OwnershipTracker.h
@@ -82,7 +82,7 @@
   void on(const HandOverReceived &event);
   void on(const ServerStopped &event);
   void on(const ConditionNoted &event);
-  void on(const AuthorityLapsed &event);
+  void on(const AuthorityExpired &event);
   void on(const OwnershipTicked &event);
 
   void onQuestion(const EntryVm &asker, const OwnershipHandOver &message);
--- a/Balsamrack/Membership/SwimMembership.cpp
+++ b/Balsamrack/Membership/SwimMembership.cpp
@@ -241,8 +241,8 @@
   Hints.forget(sender.Vm.Id);
   Table.heard(Now, sender.Vm.Id);
   takeChanges();
-  // Guards against the goodbye of a daemon that was never heard of here: the
-  // table keeps no updates of it, and nobody waits for an answer.
+  // Guards against the leave message of a daemon that was never heard of here:
+  // the table keeps no updates of it, and nobody waits for an answer.
   bool known = Table.all().count(sender.Vm.Id) != 0;
   if (known && Table.self().State != MemberState::Left)
     answer(sender.Vm, ping, started);
@@ -369,7 +369,7 @@
     return;
   Table.leave(Now, MemberState::Left);
   takeChanges();
-  // Nobody will probe us any more, so the goodbye is sent out by itself.
+  // Nobody will probe us any more, so the leave message is sent out by itself.
   auto ofDomain = [this](const MemberView &m) { return isDomainPeer(m); };
   auto anyone = [this](const MemberView &m) { return isPeer(m); };
   auto told =
--- a/Balsamrack/Packets/ConnectionProber.cpp
+++ b/Balsamrack/Packets/ConnectionProber.cpp
@@ -27,7 +27,7 @@
                                    sizeof to) == 0 ||
                            errno == EINPROGRESS);
   if (begun) {
-    Attempts.push_back({attempt.Server, fd, now + attempt.Patience});
+    Attempts.push_back({attempt.Server, fd, now + attempt.Timeout});
     return;
   }
   if (fd >= 0)
--- a/Balsamrack/Packets/FlowExplanation.cpp
+++ b/Balsamrack/Packets/FlowExplanation.cpp
@@ -17,44 +17,44 @@
 }
 
 FlowExplanation PacketRouter::explain(TimePoint now, const FlowKey &key) {
-  FlowExplanation told;
+  FlowExplanation explanation;
   if (!Routes) {
-    told.Refused = PacketReason::NotReady;
-    return told;
+    explanation.Refused = PacketReason::NotReady;
+    return explanation;
   }
-  told.Version = Routes->Version;
+  explanation.Version = Routes->Version;
   if (const RememberedFlow *flow = Flows.find(key)) {
-    told.Known = true;
-    told.Stage = flow->Stage;
-    told.Home = Servers.at(flow->Home).Is.What->Server.Id;
-    told.Tries = flow->Tries;
-    told.Age = now - flow->OpenedAt;
-    told.Quiet = now - flow->LastSeen;
+    explanation.Known = true;
+    explanation.Stage = flow->Stage;
+    explanation.Home = Servers.at(flow->Home).Is.What->Server.Id;
+    explanation.Tries = flow->Tries;
+    explanation.Age = now - flow->OpenedAt;
+    explanation.Quiet = now - flow->LastSeen;
   }
   const ServiceId *service = serviceFor(key);
   if (!service) {
-    told.Refused = PacketReason::NoRoute;
-    return told;
+    explanation.Refused = PacketReason::NoRoute;
+    return explanation;
   }
-  told.Service = *service;
+  explanation.Service = *service;
   const TabledService *of = listCandidates(now, *service, RememberedFlow());
   if (!of || Candidates.empty()) {
-    told.Refused = PacketReason::NoServer;
-    return told;
+    explanation.Refused = PacketReason::NoServer;
+    return explanation;
   }
-  told.OthersLoad = of->Load;
+  explanation.OthersLoad = of->Load;
   std::vector<bool> best = bestForOpening(Candidates, of->Load);
   for (size_t i = 0; i < Candidates.size(); ++i) {
     const OpeningCandidate &it = Candidates[i];
     const TabledServer &server =
         Servers.at(static_cast<ServerIndex>(it.Server));
-    told.Candidates.push_back({server.Is.What->Server.Id, it.Rank,
-                               openingCost(it, of->Load), it.InProgress,
-                               it.Share, it.Near, it.Cold, best[i]});
+    explanation.Candidates.push_back({server.Is.What->Server.Id, it.Rank,
+                                      openingCost(it, of->Load), it.InProgress,
+                                      it.Share, it.Near, it.Cold, best[i]});
   }
   if (allUnreachable(*service))
-    told.Refused = PacketReason::Unreachable;
-  return told;
+    explanation.Refused = PacketReason::Unreachable;
+  return explanation;
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/HeldOpenings.cpp
+++ b/Balsamrack/Packets/OpeningQueue.cpp
@@ -1,11 +1,12 @@
-#include "Balsamrack/Packets/HeldOpenings.h"
+#include "Balsamrack/Packets/OpeningQueue.h"
 
 #include <cassert>
 #include <cstring>
 
 namespace balsamrack {
 
-bool KeptOpening::keep(const PacketHead &head, const uint8_t *bytes, size_t n) {
+bool BufferedOpening::keep(const PacketHead &head, const uint8_t *bytes,
+                           size_t n) {
   if (n > MaxBytes)
     return false;
   Head = head;
@@ -14,14 +15,14 @@
   return true;
 }
 
-bool HeldOpenings::add(const KeptOpening &opening, TimePoint until) {
+bool OpeningQueue::add(const BufferedOpening &opening, TimePoint until) {
   if (Waiting.size() >= Most)
     return false;
   Waiting.push_back({opening, until});
   return true;
 }
 
-HeldOpenings::Held HeldOpenings::take() {
+OpeningQueue::Held OpeningQueue::take() {
   assert(!Waiting.empty());
   Held held = Waiting.front();
   Waiting.pop_front();
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/OpeningQueue.h
@@ -1,5 +1,5 @@
-#ifndef BALSAMRACK_PACKETS_HELDOPENINGS_H
-#define BALSAMRACK_PACKETS_HELDOPENINGS_H
+#ifndef BALSAMRACK_PACKETS_OPENINGQUEUE_H
+#define BALSAMRACK_PACKETS_OPENINGQUEUE_H
 
 #include <array>
 #include <cstddef>
@@ -13,7 +13,7 @@
 namespace balsamrack {
 
 /// An opening with its bytes as they came.
-struct KeptOpening {
+struct BufferedOpening {
   /// Openings carry no data.
   static constexpr size_t MaxBytes = 48;
 
@@ -27,19 +27,19 @@
 
 /// Openings that wait: for the first updates after a start or a pause, or for
 /// free slots. Bounded. Not thread-safe.
-class HeldOpenings {
+class OpeningQueue {
 public:
   /// Half a second of a small site's openings at a daemon.
   static constexpr size_t Most = 512;
 
   /// One that waits.
   struct Held {
-    KeptOpening Opening; ///< What waits.
-    TimePoint Until;     ///< It goes on then at the latest.
+    BufferedOpening Opening; ///< What waits.
+    TimePoint Until;         ///< It goes on then at the latest.
   };
 
   /// Takes one in; false when there is no room.
-  bool add(const KeptOpening &opening, TimePoint until);
+  bool add(const BufferedOpening &opening, TimePoint until);
   /// Number of those that wait.
   size_t size() const { return Waiting.size(); }
   /// True when nothing waits.
@@ -55,4 +55,4 @@
 
 } // namespace balsamrack
 
-#endif // BALSAMRACK_PACKETS_HELDOPENINGS_H
+#endif // BALSAMRACK_PACKETS_OPENINGQUEUE_H
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -14,7 +14,7 @@
     std::vector<ServerIndex> usable;
     std::vector<uint32_t> slots;
     for (ServerIndex index : service.TakeNew)
-      if (!Silence.silent(index)) {
+      if (!Detector.silent(index)) {
         usable.push_back(index);
         slots.push_back(Servers.at(index).Is.What->Server.Slots);
       }
@@ -82,7 +82,7 @@
   const TabledService *of = Servers.service(service);
   return of && std::all_of(of->TakeNew.begin(), of->TakeNew.end(),
                            [this](ServerIndex index) {
-                             return Silence.unreachable(index);
+                             return Detector.unreachable(index);
                            });
 }
 
@@ -90,7 +90,7 @@
   bool any = false;
   for (const auto &[id, service] : Servers.services())
     for (ServerIndex index : service.TakeNew) {
-      if (!Silence.unreachable(index))
+      if (!Detector.unreachable(index))
         return false;
       any = true;
     }
@@ -131,7 +131,7 @@
       eventOf(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
               copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
   event.Tries = flow.Tries;
-  out.tell(event);
+  out.report(event);
   WaitingOpening waiting;
   waiting.Due = now + Timeout.value();
   waiting.SentAt = now;
@@ -178,13 +178,13 @@
     const BackendServer &what = server.Is.What->Server;
     OpeningCandidate candidate;
     candidate.Server = index;
-    if (Silence.silent(index))
+    if (Detector.silent(index))
       candidate.Rank = OpeningRank::Silent;
-    else if (server.Is.Presence == ServerPresence::Lapsed &&
+    else if (server.Is.Presence == ServerPresence::Expired &&
              !server.Is.WithMany)
-      candidate.Rank = OpeningRank::Lapsed;
+      candidate.Rank = OpeningRank::Expired;
     else if (triedDomain(flow, what.Domain))
-      candidate.Rank = OpeningRank::Doubted;
+      candidate.Rank = OpeningRank::Suspected;
     candidate.InProgress = server.InProgress;
     candidate.Slots = what.Slots;
     candidate.Share = server.Share;
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -31,16 +31,16 @@
 PacketRouter::PacketRouter(const PacketRouterSettings &settings,
                            RandomSource &random)
     : Settings(settings), Random(random), Flows(settings.MaxFlows),
-      Silence(settings.Silence) {}
+      Detector(settings.Detector) {}
 
 void PacketRouter::setRoutes(std::shared_ptr<const PacketRoutes> routes) {
   assert(routes);
   Routes = std::move(routes);
   ServerTable::Change change = Servers.update(*Routes);
   for (ServerIndex index : change.Removed)
-    Silence.remove(index);
+    Detector.remove(index);
   for (ServerIndex index : change.Added)
-    Silence.add(index, Servers.at(index).Is.What->Server.Domain);
+    Detector.add(index, Servers.at(index).Is.What->Server.Domain);
   reshare();
 }
 
@@ -50,18 +50,18 @@
     return;
   Daemons = daemons;
   Self = self;
-  Silence.setDaemons(daemons);
+  Detector.setDaemons(daemons);
   reshare();
 }
 
 void PacketRouter::packet(TimePoint now, const PacketHead &head,
                           const uint8_t *bytes, size_t n, PacketSink &out) {
   if (!Routes && head.Opens &&
-      holdBack(now, head, bytes, n, Settings.RefreshWait))
+      holdOpening(now, head, bytes, n, Settings.RefreshWait))
     return;
   if (!Routes) {
-    out.tell(eventOf(PacketEventKind::Dropped, PacketReason::NotReady,
-                     head.Flow, NoServerIndex));
+    out.report(eventOf(PacketEventKind::Dropped, PacketReason::NotReady,
+                       head.Flow, NoServerIndex));
     return;
   }
   if (head.Opens)
@@ -82,18 +82,18 @@
     Flows.erase(head.Flow);
   }
   if (Stale) {
-    if (!holdBack(now, head, bytes, n, Settings.RefreshWait))
-      out.tell(eventOf(PacketEventKind::Dropped, PacketReason::Stale, head.Flow,
-                       NoServerIndex));
+    if (!holdOpening(now, head, bytes, n, Settings.RefreshWait))
+      out.report(eventOf(PacketEventKind::Dropped, PacketReason::Stale,
+                         head.Flow, NoServerIndex));
     return;
   }
-  if (letWait(now, head, bytes, n))
+  if (queueLateOpening(now, head, bytes, n))
     return;
   place(now, head, bytes, n, out);
 }
 
-bool PacketRouter::letWait(TimePoint now, const PacketHead &head,
-                           const uint8_t *bytes, size_t n) {
+bool PacketRouter::queueLateOpening(TimePoint now, const PacketHead &head,
+                                    const uint8_t *bytes, size_t n) {
   auto route = Routes->Routes.find(head.Flow.Service);
   if (route == Routes->Routes.end())
     return false;
@@ -101,7 +101,7 @@
       {head.Age, route->second.Objective, route->second.Timeout});
   if (wait == Duration{0} || !slotsTakenFor(now, head))
     return false;
-  KeptOpening opening;
+  BufferedOpening opening;
   return opening.keep(head, bytes, n) && Late.add(opening, now + wait);
 }
 
@@ -119,13 +119,13 @@
   return flow && flow->FirstSequence == head.Sequence;
 }
 
-void PacketRouter::goOnWithLate(TimePoint now, PacketSink &out) {
+void PacketRouter::placeLateOpenings(TimePoint now, PacketSink &out) {
   if (!Routes || Stale)
     return;
   // Each is looked at once; those that wait on keep their order.
   for (size_t n = Late.size(); n > 0; --n) {
-    HeldOpenings::Held held = Late.take();
-    const KeptOpening &opening = held.Opening;
+    OpeningQueue::Held held = Late.take();
+    const BufferedOpening &opening = held.Opening;
     // A later copy may have gone on before it.
     if (knownAlready(opening.Head))
       continue;
@@ -135,16 +135,16 @@
   }
 }
 
-bool PacketRouter::holdBack(TimePoint now, const PacketHead &head,
-                            const uint8_t *bytes, size_t n, Duration most) {
-  KeptOpening opening;
+bool PacketRouter::holdOpening(TimePoint now, const PacketHead &head,
+                               const uint8_t *bytes, size_t n, Duration most) {
+  BufferedOpening opening;
   return opening.keep(head, bytes, n) && Held.add(opening, now + most);
 }
 
-void PacketRouter::goOnWithHeld(TimePoint now, PacketSink &out) {
+void PacketRouter::placeHeldOpenings(TimePoint now, PacketSink &out) {
   while (Routes && !Stale && !Held.empty()) {
-    HeldOpenings::Held held = Held.take();
-    const KeptOpening &opening = held.Opening;
+    OpeningQueue::Held held = Held.take();
+    const BufferedOpening &opening = held.Opening;
     // A copy of one that went on before it.
     if (knownAlready(opening.Head))
       continue;
@@ -207,7 +207,8 @@
   if (why != PacketReason::None) {
     // Silence, not a reset: the flow may be open at a living server that is
     // not known here yet, and its packets will be sent again.
-    out.tell(eventOf(PacketEventKind::Dropped, why, head.Flow, NoServerIndex));
+    out.report(
+        eventOf(PacketEventKind::Dropped, why, head.Flow, NoServerIndex));
     return nullptr;
   }
   RememberedFlow *flow = Flows.add(now, head.Flow);
@@ -216,7 +217,7 @@
   flow->Stage = FlowStage::Open;
   flow->Home = home;
   flow->OpenedAt = now;
-  out.tell(
+  out.report(
       eventOf(PacketEventKind::Adopted, PacketReason::None, head.Flow, home));
   return flow;
 }
@@ -234,7 +235,7 @@
     confirm(now, *flow, head, out);
   if (flow->Stage == FlowStage::Open && flow != &spare)
     followRequests(now, *flow, head);
-  if (lostForGood(*flow, head)) {
+  if (isLost(*flow, head)) {
     giveUp(*flow, head, out);
     return;
   }
@@ -246,13 +247,13 @@
                                             : PacketEventKind::Ended,
                                 PacketReason::None, head.Flow, flow->Home);
     event.Took = now - flow->OpenedAt;
-    out.tell(event);
+    out.report(event);
   }
   forward(flow->Home, bytes, n, out);
 }
 
-bool PacketRouter::lostForGood(const RememberedFlow &flow,
-                               const PacketHead &head) const {
+bool PacketRouter::isLost(const RememberedFlow &flow,
+                          const PacketHead &head) const {
   // Guards against callers that wait until their time is over for a server that
   // is dead or cut off: told at once, they open anew elsewhere and are served.
   // Only a packet that brings data is lost with its server; a request that has
@@ -262,7 +263,7 @@
     return false;
   if (Servers.at(flow.Home).Is.Presence == ServerPresence::Replaced)
     return true;
-  if (!Silence.lost(flow.Home))
+  if (!Detector.lost(flow.Home))
     return false;
   auto route = Routes->Routes.find(head.Flow.Service);
   return route != Routes->Routes.end() && route->second.Idempotent;
@@ -275,14 +276,14 @@
   out.reset(head);
   PacketEvent event = eventOf(PacketEventKind::GivenUp,
                               PacketReason::Unreachable, head.Flow, flow.Home);
-  out.tell(event);
+  out.report(event);
 }
 
 void PacketRouter::giveUpStuck(PacketSink &out) {
   for (const StuckRequest &it : Stuck) {
     RememberedFlow *flow = Flows.find(it.Head.Flow);
     if (flow && flow->Stage == FlowStage::Open && flow->Progress.asking() &&
-        lostForGood(*flow, it.Head))
+        isLost(*flow, it.Head))
       giveUp(*flow, it.Head, out);
   }
 }
@@ -294,13 +295,13 @@
     if (flow.Counted)
       Servers.serviceOf(flow.Home).requestAnswered(now - flow.CountedAt);
     release(flow);
-    Silence.arrived(flow.Home, flow.Progress.askedAt());
+    Detector.arrived(flow.Home, flow.Progress.askedAt());
   }
   if (step.Data != CallerData::None)
     count(now, flow, flow.Home);
   if (step.Data != CallerData::Repeated)
     return;
-  Silence.doubted(now, flow.Home, flow.Progress.askedAt());
+  Detector.suspect(now, flow.Home, flow.Progress.askedAt());
   if (Stuck.size() >= MostStuck)
     Stuck.pop_front();
   Stuck.push_back({now, head});
@@ -321,17 +322,17 @@
                               head.Flow, flow.Home);
   event.Took = now - flow.OpenedAt;
   event.Tries = flow.Tries;
-  out.tell(event);
-  Silence.arrived(flow.Home, flow.LastSent);
-  bool domainWas = Silence.silent(flow.Home);
-  bool was = Silence.answered(now, flow.Home);
+  out.report(event);
+  Detector.arrived(flow.Home, flow.LastSent);
+  bool domainWas = Detector.silent(flow.Home);
+  bool was = Detector.answered(now, flow.Home);
   noteBack(flow.Home, was, domainWas, out);
 }
 
 void PacketRouter::noteBack(ServerIndex server, bool was, bool domainWas,
                             PacketSink &out) {
   if (was)
-    out.tell(
+    out.report(
         eventOf(PacketEventKind::ServerBack, PacketReason::None, {}, server));
   if (was || domainWas)
     reshare();
@@ -341,35 +342,34 @@
                                 AttemptEnd how, PacketSink &out) {
   if (server >= Servers.all().size() || !Servers.at(server).Used)
     return;
-  bool silent = Silence.silent(server);
+  bool silent = Detector.silent(server);
   if (how == AttemptEnd::Connected) {
-    bool was = Silence.connected(now, server);
+    bool was = Detector.connected(now, server);
     noteBack(server, was, silent, out);
     return;
   }
-  bool wasLost = Silence.lost(server);
+  bool wasLost = Detector.lost(server);
   bool sure = how == AttemptEnd::Failed;
   bool awaited = Servers.at(server).InProgress > 0;
-  if (Silence.attemptFailed(now, server, sure, awaited))
+  if (Detector.attemptFailed(now, server, sure, awaited))
     noteSilent(server, {}, out);
-  if (!wasLost && Silence.lost(server))
+  if (!wasLost && Detector.lost(server))
     giveUpStuck(out);
 }
 
 void PacketRouter::noteSilent(ServerIndex server, const FlowKey &flow,
                               PacketSink &out) {
-  out.tell(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer, flow,
-                   server));
+  out.report(eventOf(PacketEventKind::ServerSilent, PacketReason::NoAnswer,
+                     flow, server));
   reshare();
 }
 
 std::vector<ConnectionAttempt> PacketRouter::dueAttempts(TimePoint now) {
   // A handshake with the server alone; openings take one with the caller too.
-  Duration patience =
-      std::clamp(2 * Timeout.value(), LeastAttempt, MostAttempt);
-  std::vector<size_t> servers = Silence.due(now);
+  Duration timeout = std::clamp(2 * Timeout.value(), LeastAttempt, MostAttempt);
+  std::vector<size_t> servers = Detector.due(now);
   if (!servers.empty())
-    if (auto control = Silence.control(now, servers.front()))
+    if (auto control = Detector.control(now, servers.front()))
       servers.push_back(*control);
   std::vector<ConnectionAttempt> attempts;
   for (size_t server : servers) {
@@ -377,7 +377,7 @@
     const RoutedBackend &is = Servers.at(index).Is;
     // Who answers there is another server.
     if (is.Presence != ServerPresence::Replaced)
-      attempts.push_back({index, is.At, patience});
+      attempts.push_back({index, is.At, timeout});
   }
   return attempts;
 }
@@ -399,8 +399,8 @@
 void PacketRouter::tick(TimePoint now, PacketSink &out) {
   tickWaiting(now, Waiting, out);
   tickWaiting(now, LastCopies, out);
-  goOnWithHeld(now, out);
-  goOnWithLate(now, out);
+  placeHeldOpenings(now, out);
+  placeLateOpenings(now, out);
   while (!Stuck.empty() && now - Stuck.front().At > StuckKeep)
     Stuck.pop_front();
   Duration openKeep = Settings.OpenKeep;
@@ -429,7 +429,7 @@
         PacketEvent event = eventOf(PacketEventKind::Forgotten,
                                     PacketReason::None, key, flow.Home);
         event.Took = flow.LastSeen - flow.OpenedAt;
-        out.tell(event);
+        out.report(event);
       });
 }
 
@@ -448,9 +448,10 @@
   // Guards against a process that was frozen: what waited in its socket has
   // been sent to another daemon too, and is answered there. Servers are not
   // silent for that.
-  if (!flow->Delayed && Silence.unanswered(now, server, waiting.SentAt, caller))
+  if (!flow->Delayed &&
+      Detector.unanswered(now, server, waiting.SentAt, caller))
     noteSilent(server, waiting.Opening.Head.Flow, out);
-  const KeptOpening &opening = waiting.Opening;
+  const BufferedOpening &opening = waiting.Opening;
   bool sent = opening.Bytes > 0 &&
               sendElsewhere(now, *flow, opening.Head, opening.Packet.data(),
                             opening.Bytes, out);
@@ -465,9 +466,9 @@
   if (flow->CopiesSeen != AllCopies || flow->Delayed)
     return;
   // And only when its first packet to a server has had time to come again.
-  if (now - flow->LastSeen < Settings.LastCopyPatience) {
+  if (now - flow->LastSeen < Settings.LastCopyTimeout) {
     WaitingOpening again = waiting;
-    again.Due = flow->LastSeen + Settings.LastCopyPatience;
+    again.Due = flow->LastSeen + Settings.LastCopyTimeout;
     LastCopies.push_back(again);
     return;
   }
@@ -482,7 +483,7 @@
   // Slots get free as packets come in, and each packet is followed by a tick.
   if (!Late.empty() && Routes)
     next = std::min(next, Late.front().Until);
-  return std::min(next, Silence.nextDue());
+  return std::min(next, Detector.nextDue());
 }
 
 void PacketRouter::forward(ServerIndex to, const uint8_t *bytes, size_t n,
@@ -494,7 +495,7 @@
 void PacketRouter::refuse(const PacketHead &head, PacketReason why,
                           PacketSink &out) {
   out.reset(head);
-  out.tell(eventOf(PacketEventKind::Refused, why, head.Flow, NoServerIndex));
+  out.report(eventOf(PacketEventKind::Refused, why, head.Flow, NoServerIndex));
 }
 
 void PacketRouter::count(TimePoint now, RememberedFlow &flow, ServerIndex at) {
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Decisions/FailureDetector.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
-#include "Balsamrack/Decisions/SilenceDetector.h"
 #include "Balsamrack/Packets/FlowExplanation.h"
 #include "Balsamrack/Packets/FlowMemory.h"
-#include "Balsamrack/Packets/HeldOpenings.h"
+#include "Balsamrack/Packets/OpeningQueue.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
@@ -29,23 +29,22 @@
   size_t MaxFlows = 100'000;       ///< Flows remembered, some 100 bytes each.
   Duration OpeningKeep{2'000'000}; ///< An opening without an answer is
                                    ///< forgotten; callers give up after 1.4 s.
-  Duration LastCopyPatience{
-      450'000};                   ///< From an opening's last copy to a reset
-                                  ///< for want of an answer: callers send a
-                                  ///< lost packet again after 200 ms, and
-                                  ///< give up 800 ms after that copy.
-  Duration EndingKeep{3'000'000}; ///< Packets may follow the end of a flow:
-                                  ///< retransmissions wait 1.6 s at most.
+  Duration LastCopyTimeout{450'000}; ///< From an opening's last copy to a reset
+                                     ///< for want of an answer: callers send a
+                                     ///< lost packet again after 200 ms, and
+                                     ///< give up 800 ms after that copy.
+  Duration EndingKeep{3'000'000};    ///< Packets may follow the end of a flow:
+                                     ///< retransmissions wait 1.6 s at most.
   Duration OpenKeep{20'000'000}; ///< A silent open flow is forgotten; its token
                                  ///< still names its server.
-  SilenceSettings Silence;       ///< Of the silence detector.
+  FailureDetectorSettings Detector; ///< Of the failure detector.
 };
 
 /// A server that should be asked by a connection attempt.
 struct ConnectionAttempt {
   ServerIndex Server = NoServerIndex; ///< For attemptEnded().
   Endpoint At;                        ///< Where to connect to.
-  Duration Patience{0};               ///< Failed when it takes longer.
+  Duration Timeout{0};                ///< Failed when it takes longer.
 };
 
 /// How a connection attempt ended.
@@ -101,7 +100,7 @@
   /// Daemons of the fleet, as setFleet() said.
   size_t daemons() const { return Daemons; }
   /// True when the server at \p index, or its whole domain, is silent.
-  bool silent(ServerIndex index) const { return Silence.silent(index); }
+  bool silent(ServerIndex index) const { return Detector.silent(index); }
   /// True when servers take new flows, and none of them, of whatever service,
   /// can be reached from here: others may serve what this daemon can't.
   bool outOfReach() const;
@@ -110,7 +109,7 @@
   /// The servers with their counts.
   const ServerTable &servers() const { return Servers; }
   /// Servers that are silent by themselves.
-  size_t silentServers() const { return Silence.silentServers(); }
+  size_t silentServers() const { return Detector.silentServers(); }
   /// The snapshot in force; null before the first setRoutes().
   const std::shared_ptr<const PacketRoutes> &routes() const { return Routes; }
   /// The current wait for the answer to an opening.
@@ -119,9 +118,9 @@
 private:
   /// An opening that waits for its answer.
   struct WaitingOpening {
-    TimePoint Due;       ///< When to try another server.
-    TimePoint SentAt;    ///< When the last copy was sent on.
-    KeptOpening Opening; ///< What was sent; empty when it was too long.
+    TimePoint Due;           ///< When to try another server.
+    TimePoint SentAt;        ///< When the last copy was sent on.
+    BufferedOpening Opening; ///< What was sent; empty when it was too long.
   };
 
   /// A request whose data came again without a sign of having arrived.
@@ -132,22 +131,22 @@
 
   void opening(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                size_t n, PacketSink &out);
-  bool holdBack(TimePoint now, const PacketHead &head, const uint8_t *bytes,
-                size_t n, Duration most);
-  bool letWait(TimePoint now, const PacketHead &head, const uint8_t *bytes,
-               size_t n);
+  bool holdOpening(TimePoint now, const PacketHead &head, const uint8_t *bytes,
+                   size_t n, Duration most);
+  bool queueLateOpening(TimePoint now, const PacketHead &head,
+                        const uint8_t *bytes, size_t n);
   bool slotsTakenFor(TimePoint now, const PacketHead &head);
   bool knownAlready(const PacketHead &head);
-  void goOnWithLate(TimePoint now, PacketSink &out);
+  void placeLateOpenings(TimePoint now, PacketSink &out);
   void place(TimePoint now, const PacketHead &head, const uint8_t *bytes,
              size_t n, PacketSink &out);
-  void goOnWithHeld(TimePoint now, PacketSink &out);
+  void placeHeldOpenings(TimePoint now, PacketSink &out);
   void openingCopy(TimePoint now, RememberedFlow &flow, const PacketHead &head,
                    const uint8_t *bytes, size_t n, PacketSink &out);
   void ongoing(TimePoint now, const PacketHead &head, const uint8_t *bytes,
                size_t n, PacketSink &out);
 
-  bool lostForGood(const RememberedFlow &flow, const PacketHead &head) const;
+  bool isLost(const RememberedFlow &flow, const PacketHead &head) const;
   void giveUp(RememberedFlow &flow, const PacketHead &head, PacketSink &out);
   void giveUpStuck(PacketSink &out);
   RememberedFlow *adopt(TimePoint now, const PacketHead &head,
@@ -192,10 +191,10 @@
   std::shared_ptr<const PacketRoutes> Routes; ///< In force; null at first.
   ServerTable Servers;                        ///< Servers, counts and shares.
   FlowMemory Flows;                           ///< Flows of this daemon.
-  SilenceDetector Silence;                    ///< Who does not answer.
+  FailureDetector Detector;                   ///< Who does not answer.
   OpeningTimeout Timeout;                     ///< For openings.
-  HeldOpenings Held;                          ///< Wait for updates.
-  HeldOpenings Late;                          ///< Wait for a free slot.
+  OpeningQueue Held;                          ///< Wait for updates.
+  OpeningQueue Late;                          ///< Wait for a free slot.
   std::deque<WaitingOpening> Waiting;         ///< Nearly in order of Due.
   /// Last copies until a reset, in order of Due; apart, since they wait longer
   /// and would hold up the others.
--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -81,7 +81,7 @@
     ServerByName[object.Name] = key;
     Servers[key] = {*what, true, false, {}, now + (*what)->ColdLeft};
   }
-  markMassLapses();
+  markMassExpiry();
 }
 
 void RouteBook::serverGone(TimePoint now, const std::string &name) {
@@ -95,8 +95,8 @@
   it->second.GoneAt = now;
 }
 
-void RouteBook::markMassLapses() {
-  // Guards against a publishing service that was away: all entries lapse at
+void RouteBook::markMassExpiry() {
+  // Guards against a publishing service that was away: all entries expire at
   // once though the servers live, and the first ones back would get the load
   // of all. Servers die one by one, or are half of their service at most.
   for (auto &[key, known] : Servers) {
@@ -126,10 +126,10 @@
   if (known.Present)
     return ServerPresence::Listed;
   if (known.What->Server.Mode != ServerMode::Active ||
-      now >= known.GoneAt + LapseKeep)
+      now >= known.GoneAt + ExpiryKeep)
     return ServerPresence::Gone;
-  NextChange = std::min(NextChange, known.GoneAt + LapseKeep);
-  return ServerPresence::Lapsed;
+  NextChange = std::min(NextChange, known.GoneAt + ExpiryKeep);
+  return ServerPresence::Expired;
 }
 
 std::map<Endpoint, uint64_t> RouteBook::newestByAddress() const {
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -16,7 +16,7 @@
 /// How a server stands in what is published.
 enum class ServerPresence {
   Listed,   ///< Published.
-  Lapsed,   ///< Was ready and has just disappeared: it may only have failed to
+  Expired,  ///< Was ready and has just disappeared: it may only have failed to
             ///< renew its entry.
   Gone,     ///< Not published any more; its open flows still find it.
   Replaced, ///< A later server has its address: it is dead for sure.
@@ -28,14 +28,14 @@
   Endpoint At;                                 ///< Where datagrams go.
   uint32_t Token = 0; ///< Stands for it on the packets of its flows.
   ServerPresence Presence = ServerPresence::Listed; ///< See there.
-  bool WithMany = false;  ///< Lapsed together with half of its service.
+  bool WithMany = false;  ///< Expired together with half of its service.
   bool DomainOut = false; ///< Its failure domain was taken out.
   TimePoint ColdUntil;    ///< Slow until then.
 
   /// True when it may get new flows in ordinary times. Thread-safe.
   bool takesNew() const {
     bool there = Presence == ServerPresence::Listed ||
-                 Presence == ServerPresence::Lapsed;
+                 Presence == ServerPresence::Expired;
     return there && !DomainOut && What->Server.Mode == ServerMode::Active;
   }
 };
@@ -71,9 +71,9 @@
 class RouteBook {
 public:
   /// A server that disappears without having drained is kept for new flows so
-  /// long, behind all others: entries that only lapsed come back within two
+  /// long, behind all others: entries that only expired come back within two
   /// seconds, and one that stays away for longer is gone.
-  static constexpr Duration LapseKeep{2'000'000};
+  static constexpr Duration ExpiryKeep{2'000'000};
   /// A server that is gone is kept for its open flows so long: flows older
   /// than a minute may be given up on the platforms that we know.
   static constexpr Duration GoneKeep{120'000'000};
@@ -108,7 +108,7 @@
                         std::shared_ptr<const OperatorConfiguration> what,
                         Revision at);
   void serverGone(TimePoint now, const std::string &name);
-  void markMassLapses();
+  void markMassExpiry();
   void forget(TimePoint now);
   ServerPresence presenceOf(TimePoint now, const Known &known);
   std::map<Endpoint, uint64_t> newestByAddress() const;
--- a/Balsamrack/Packets/PacketSink.h
+++ b/Balsamrack/Packets/PacketSink.h
@@ -26,7 +26,7 @@
   /// Answer the packet with \p head by a reset.
   virtual void reset(const PacketHead &head) = 0;
   /// Tell what happened.
-  virtual void tell(const PacketEvent &event) = 0;
+  virtual void report(const PacketEvent &event) = 0;
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/WebsocketTransport.cpp
+++ b/Balsamrack/Peers/WebsocketTransport.cpp
@@ -21,8 +21,9 @@
 using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds DrainLimit(1000); ///< For what waits.
-constexpr std::chrono::milliseconds CloseLimit(500);  ///< For the goodbyes.
-constexpr std::chrono::milliseconds StopCheck(2);     ///< Between two looks.
+constexpr std::chrono::milliseconds
+    CloseLimit(500);                              ///< For the leave messages.
+constexpr std::chrono::milliseconds StopCheck(2); ///< Between two looks.
 
 class AsioTransport final : public WebsocketTransport {
 public:
--- a/Balsamrack/World/Request.h
+++ b/Balsamrack/World/Request.h
@@ -47,8 +47,8 @@
   DomainOut,    ///< Operators took the failure domain out of service.
   DomainUnreachable, ///< The owner's failure domain can't be reached.
   NotOwner,    ///< The daemon asked is not the server's owner in its own view.
-  OwnerUnsure, ///< The owner's authority has lapsed, or it waits for an earlier
-               ///< owner's to lapse.
+  OwnerUnsure, ///< The owner's authority has expired, or it waits for an
+               ///< earlier owner's to expire.
   OwnerUnreachable, ///< The owner could not be reached: not sent.
   OwnerLost,        ///< The owner vanished after the request was sent to it.
   FlowElsewhere,    ///< The flow is not known here and is established.
--- a/Models/Ownership.pml
+++ b/Models/Ownership.pml
@@ -27,7 +27,7 @@
 byte lease[N];      /* ticks until the fence closes */
 byte rel[N];        /* who released it to me under my sequence */
 byte waitFor[N];    /* ticks until the leases of the dead have ended */
-byte alone[N];      /* ticks that a lapsed daemon without peers has waited */
+byte alone[N];      /* ticks that a expired daemon without peers has waited */
 byte quiet[9];      /* i * N + j: ticks since i renewed the lease of j, or j
                      * stopped to run (MemberView::SilentSince is not before) */
 byte refutation[N]; /* of each daemon itself */
@@ -92,7 +92,7 @@
   skip
 }
 
-/* OwnershipTracker, AuthorityLapsed */
+/* OwnershipTracker, AuthorityExpired */
 inline giveUp(g) {
   owned[g] = false;
   restart(g)
@@ -108,7 +108,7 @@
 /* One probe and its answer: OwnershipFence::heard at x, MemberTable::renew at y.
  * Probes are much more frequent than a tick is long, so a tick renews a lease
  * or finds that every answer was lost. A lease that had ended is not renewed
- * without giving up: state Renewed, AuthorityLapsed, restart. */
+ * without giving up: state Renewed, AuthorityExpired, restart. */
 inline renew(x, y) {
   unproven[x] = false;
   if
--- a/PerformanceTest/FlowFleet.cpp
+++ b/PerformanceTest/FlowFleet.cpp
@@ -63,7 +63,8 @@
 void FlowFleet::killDaemon(size_t daemon) { Daemons[daemon]->Alive = false; }
 
 void FlowFleet::leaveDaemon(size_t daemon) {
-  // It says goodbye: its servers pass on with what their next owners need.
+  // It Announces that it leaves: its servers pass on with what their next
+  // owners need.
   Daemon &leaver = *Daemons[daemon];
   leaver.Alive = false;
   moveServers(leaver, makeView(leaver));
--- a/PerformanceTest/packet-pathMain.cpp
+++ b/PerformanceTest/packet-pathMain.cpp
@@ -57,7 +57,7 @@
     Codec.writeToken(out + Codec.prefixBytes(), to.Token);
   }
   void reset(const PacketHead & /*head*/) override {}
-  void tell(const PacketEvent & /*event*/) override {}
+  void report(const PacketEvent & /*event*/) override {}
 
 private:
   PacketSocket &Socket;
--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -2,9 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "Balsamrack/Decisions/FailureDetector.h"
 #include "Balsamrack/Decisions/LateOpenings.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
-#include "Balsamrack/Decisions/SilenceDetector.h"
 #include "Balsamrack/Decisions/SlotShares.h"
 
 namespace balsamrack {
@@ -120,12 +120,12 @@
                    with(candidate(0, 2), Usual, true, true)},
         ChoiceCase{"ColdBeforeQueue", with(candidate(0, 2), Usual, true, true),
                    candidate(3, 2)},
-        ChoiceCase{"FullBeforeDoubted", candidate(9, 2),
-                   with(candidate(0, 2), OpeningRank::Doubted, true, false)},
-        ChoiceCase{"FullBeforeLapsed", candidate(9, 2),
-                   with(candidate(0, 2), OpeningRank::Lapsed, true, false)},
-        ChoiceCase{"LapsedBeforeSilent",
-                   with(candidate(9, 2), OpeningRank::Lapsed, true, false),
+        ChoiceCase{"FullBeforeSuspected", candidate(9, 2),
+                   with(candidate(0, 2), OpeningRank::Suspected, true, false)},
+        ChoiceCase{"FullBeforeExpired", candidate(9, 2),
+                   with(candidate(0, 2), OpeningRank::Expired, true, false)},
+        ChoiceCase{"ExpiredBeforeSilent",
+                   with(candidate(9, 2), OpeningRank::Expired, true, false),
                    with(candidate(0, 2), OpeningRank::Silent, true, false)}),
     [](const auto &info) { return std::string(info.param.Name); });
 
@@ -142,9 +142,9 @@
   EXPECT_FALSE(chooseForOpening({}, 0.5, random));
 }
 
-class SilenceTest : public testing::Test {
+class FailureDetectorTest : public testing::Test {
 protected:
-  SilenceTest() : Detector(SilenceSettings()) {
+  FailureDetectorTest() : Detector(FailureDetectorSettings()) {
     for (size_t i = 0; i < 3; ++i)
       Detector.add(i, DomainId("a"));
     Detector.add(3, DomainId("b"));
@@ -154,17 +154,17 @@
     Detector.unanswered(Now, server, Now - Duration(10'000), 2);
   }
   TimePoint Now{Duration(10'000'000)};
-  SilenceDetector Detector;
+  FailureDetector Detector;
 };
 
-TEST_F(SilenceTest, OneLostOpeningSaysNothing) {
+TEST_F(FailureDetectorTest, OneLostOpeningSaysNothing) {
   EXPECT_FALSE(Detector.unanswered(Now, 0, Now - Duration(20'000), 1));
   Detector.answered(Now, 0);
   EXPECT_FALSE(Detector.unanswered(Now, 0, Now + Duration(10'000), 2));
   EXPECT_FALSE(Detector.silent(0));
 }
 
-TEST_F(SilenceTest, AnAnswerAfterTheOpeningWasSentProvesLife) {
+TEST_F(FailureDetectorTest, AnAnswerAfterTheOpeningWasSentProvesLife) {
   Detector.answered(Now, 0);
   EXPECT_FALSE(Detector.unanswered(Now, 0, Now - Duration(1), 1));
   EXPECT_FALSE(Detector.unanswered(Now, 0, Now - Duration(2), 2));
@@ -173,7 +173,7 @@
 
 // Story: one caller's link is cut. Whatever it opens gets no answer, and that
 // says nothing of the servers.
-TEST_F(SilenceTest, OneCallerAloneSilencesNobody) {
+TEST_F(FailureDetectorTest, OneCallerAloneSilencesNobody) {
   for (int i = 0; i < 10; ++i)
     EXPECT_FALSE(Detector.unanswered(Now, 0, Now - Duration(20'000), 7));
   EXPECT_TRUE(Detector.unanswered(Now, 0, Now - Duration(20'000), 8));
@@ -181,7 +181,7 @@
 
 // Story: two servers of a domain die, the third one lives. Judged with its
 // domain it gets no openings, so it could never prove itself.
-TEST_F(SilenceTest, ALivingServerSpeaksForItsDomain) {
+TEST_F(FailureDetectorTest, ALivingServerSpeaksForItsDomain) {
   fallsSilent(0);
   EXPECT_FALSE(Detector.domainSilent(DomainId("a")));
   fallsSilent(1);
@@ -198,25 +198,25 @@
   EXPECT_TRUE(Detector.silent(0));
 }
 
-TEST_F(SilenceTest, AttemptsComeLessOftenUpToABound) {
+TEST_F(FailureDetectorTest, AttemptsComeLessOftenUpToABound) {
   fallsSilent(0);
   Duration last{0};
   for (int i = 0; i < 10; ++i) {
     TimePoint due = Detector.nextDue();
-    ASSERT_LE(due, Now + SilenceSettings().LongestHold);
+    ASSERT_LE(due, Now + FailureDetectorSettings().LongestHold);
     last = due - Now;
     Now = std::max(Now, due);
     EXPECT_EQ(Detector.due(Now).size(), 1U);
     Detector.attemptFailed(Now, 0);
   }
-  EXPECT_EQ(last, SilenceSettings().LongestHold);
+  EXPECT_EQ(last, FailureDetectorSettings().LongestHold);
 }
 
 // Story: a domain is cut off, and the first sign is one request that comes
 // again. Its other servers are asked while that one is, so that the whole
 // domain is known after two attempts to connect instead of after more callers.
-TEST_F(SilenceTest, DoubtOfOneServerIsSettledForItsDomain) {
-  Detector.doubted(Now, 0, Now);
+TEST_F(FailureDetectorTest, SuspicionOfOneServerIsSettledForItsDomain) {
+  Detector.suspect(Now, 0, Now);
   EXPECT_EQ(Detector.due(Now), std::vector<size_t>{0});
   EXPECT_EQ(Detector.control(Now, 0), 3U) << "one elsewhere";
   Detector.connected(Now, 3);
@@ -241,9 +241,9 @@
 // Story: a small VM's link is full for 200 ms, for a new configuration goes out
 // on it. Openings and attempts to connect are all late, and every server of the
 // site looked lost; open flows to living servers were reset on a quiet day.
-TEST_F(SilenceTest, AFullLinkOfOurOwnLosesNobody) {
+TEST_F(FailureDetectorTest, AFullLinkOfOurOwnLosesNobody) {
   fallsSilent(1);
-  Detector.doubted(Now, 0, Now);
+  Detector.suspect(Now, 0, Now);
   TimePoint began = Now;
   for (; Now - began < Duration(900'000); Now += Duration(50'000))
     for (size_t server : Detector.due(Now))
@@ -263,12 +263,12 @@
 
 // Story: a link that is full loses every third packet. Some attempts connect,
 // so that the link seems to work, and others fail; living servers looked lost.
-TEST_F(SilenceTest, ALinkThatLosesPacketsLosesNobody) {
+TEST_F(FailureDetectorTest, ALinkThatLosesPacketsLosesNobody) {
   SeededRandom random(7);
   for (int i = 0; i < 2000; ++i, Now += Duration(50'000)) {
     for (size_t server : {0, 1, 2, 3})
       if (random.below(10) == 0)
-        Detector.doubted(Now, server, Now);
+        Detector.suspect(Now, server, Now);
     std::vector<size_t> due = Detector.due(Now);
     if (!due.empty())
       if (auto control = Detector.control(Now, due.front()))
@@ -286,7 +286,7 @@
 // Story: servers of a domain have died, and a daemon has just started there. It
 // has had no answer of the domain yet and takes it for silent as a whole; a
 // request that came again on an open flow to a living server of it was reset.
-TEST_F(SilenceTest, DeadServersLoseNoLivingOne) {
+TEST_F(FailureDetectorTest, DeadServersLoseNoLivingOne) {
   for (size_t server : {0, 1}) {
     fallsSilent(server);
     for (int i = 0; i < 5; ++i) {
@@ -294,7 +294,7 @@
       Detector.due(Now);
       Detector.arrived(3, Now);
       Detector.attemptFailed(Now, server);
-      Now += SilenceSettings().FirstHold;
+      Now += FailureDetectorSettings().FirstHold;
     }
     EXPECT_TRUE(Detector.lost(server));
   }
@@ -305,10 +305,10 @@
 // Story: a domain with a thousand servers is cut off from six hundred daemons.
 // Asked all at once, its servers would get a burst of attempts when the cut
 // heals, and the daemons' links one while it lasts.
-TEST_F(SilenceTest, ADoubtedDomainIsAskedByAFew) {
+TEST_F(FailureDetectorTest, ASuspectedDomainIsProbedByAFew) {
   for (size_t i = 100; i < 1100; ++i)
     Detector.add(i, DomainId("c"));
-  Detector.doubted(Now, 100, Now);
+  Detector.suspect(Now, 100, Now);
   size_t most = 0;
   for (int i = 0; i < 3; ++i) {
     std::vector<size_t> due = Detector.due(Now);
@@ -320,17 +320,17 @@
       break;
   }
   EXPECT_TRUE(Detector.domainSilent(DomainId("c")));
-  EXPECT_LE(most, 1U + SilenceSettings().DoubtedTogether);
+  EXPECT_LE(most, 1U + FailureDetectorSettings().SuspectsProbedTogether);
 }
 
 /// Attempts of one daemon of a fleet at a dead server in ten seconds.
 size_t attemptsAtDeadServer(size_t daemons, bool awaited) {
-  SilenceDetector detector{SilenceSettings()};
+  FailureDetector detector{FailureDetectorSettings()};
   detector.setDaemons(daemons);
   detector.add(0, DomainId("a"));
   detector.add(1, DomainId("b"));
   TimePoint now{Duration(10'000'000)};
-  detector.doubted(now, 0, now);
+  detector.suspect(now, 0, now);
   size_t attempts = 0;
   for (TimePoint end = now + Duration(10'000'000); now < end;
        now += Duration(10'000)) {
@@ -345,7 +345,7 @@
 
 // Guards against a dead server that gets attempts in proportion to the fleet,
 // although none of its daemons has a request there.
-TEST_F(SilenceTest, AFleetOfHundredsAsksADeadServerAsOftenAsASmallOne) {
+TEST_F(FailureDetectorTest, AFleetOfHundredsAsksADeadServerAsOftenAsASmallOne) {
   constexpr size_t Small = 9, Large = 295;
   size_t small = Small * attemptsAtDeadServer(Small, false);
   size_t large = Large * attemptsAtDeadServer(Large, false);
@@ -357,23 +357,23 @@
 
 // Guards against a request that is in progress at a dead server and is left
 // waiting for as long as a large fleet leaves that server alone.
-TEST_F(SilenceTest, AWaitingRequestIsSettledSoonInAnyFleet) {
+TEST_F(FailureDetectorTest, AWaitingRequestIsSettledSoonInAnyFleet) {
   for (size_t daemons : {1, 9, 295, 610}) {
-    SilenceDetector detector{SilenceSettings()};
+    FailureDetector detector{FailureDetectorSettings()};
     detector.setDaemons(daemons);
     detector.add(0, DomainId("a"));
     detector.add(1, DomainId("b"));
     TimePoint now{Duration(10'000'000)};
     // It fell silent while nothing waited there; a request comes two seconds
     // later and is repeated.
-    detector.doubted(now, 0, now);
+    detector.suspect(now, 0, now);
     TimePoint began = now + Duration(2'000'000);
     TimePoint limit = began + Duration(1'000'000);
     for (; now < limit && !detector.lost(0); now += Duration(10'000)) {
       detector.arrived(1, now);
       bool awaited = now >= began;
       if (now == began)
-        detector.doubted(now, 0, now);
+        detector.suspect(now, 0, now);
       for (size_t server : detector.due(now))
         detector.attemptFailed(now, server, true, awaited);
     }
@@ -383,7 +383,7 @@
 
 // Guards against a silent domain whose living servers are never asked, since
 // few are asked at a time and the same ones each time.
-TEST_F(SilenceTest, ALivingServerOfALargeSilentDomainIsFound) {
+TEST_F(FailureDetectorTest, ALivingServerOfALargeSilentDomainIsFound) {
   constexpr size_t First = 100, Count = 40, Living = 137;
   for (size_t i = First; i < First + Count; ++i)
     Detector.add(i, DomainId("c"));
@@ -395,7 +395,7 @@
        Now += Duration(10'000)) {
     Detector.arrived(3, Now);
     std::vector<size_t> due = Detector.due(Now);
-    EXPECT_LE(due.size(), 2 + SilenceSettings().DoubtedTogether);
+    EXPECT_LE(due.size(), 2 + FailureDetectorSettings().SuspectsProbedTogether);
     for (size_t server : due)
       if (server == Living)
         Detector.connected(Now, server);
@@ -407,28 +407,28 @@
 
 // Story: a daemon has no room for one more attempt to connect. Asked for it
 // again at once, it did nothing else any more.
-TEST_F(SilenceTest, AnAttemptThatCouldNotBeMadeComesLater) {
-  Detector.doubted(Now, 0, Now);
+TEST_F(FailureDetectorTest, AnAttemptThatCouldNotBeMadeComesLater) {
+  Detector.suspect(Now, 0, Now);
   ASSERT_EQ(Detector.due(Now).size(), 1U);
   for (int i = 0; i < 5; ++i)
     EXPECT_FALSE(Detector.attemptFailed(Now, 0, false));
   EXPECT_FALSE(Detector.silent(0));
   EXPECT_TRUE(Detector.due(Now).empty());
-  EXPECT_EQ(Detector.nextDue(), Now + SilenceSettings().FirstHold);
+  EXPECT_EQ(Detector.nextDue(), Now + FailureDetectorSettings().FirstHold);
 }
 
-TEST_F(SilenceTest, WhatArrivedLaterEndsDoubt) {
+TEST_F(FailureDetectorTest, WhatArrivedLaterEndsSuspicion) {
   Detector.arrived(0, Now);
-  Detector.doubted(Now, 0, Now - Duration(1));
+  Detector.suspect(Now, 0, Now - Duration(1));
   EXPECT_TRUE(Detector.due(Now).empty()) << "a later one has arrived";
-  Detector.doubted(Now, 0, Now + Duration(1));
+  Detector.suspect(Now, 0, Now + Duration(1));
   Detector.arrived(0, Now + Duration(2));
   EXPECT_TRUE(Detector.due(Now).empty());
 }
 
 // Story: the last answers of a domain that has just been cut off still reach
 // their callers. They must not make its servers look well again.
-TEST_F(SilenceTest, AnAnswerToWhatWasSentBeforeSaysNothing) {
+TEST_F(FailureDetectorTest, AnAnswerToWhatWasSentBeforeSaysNothing) {
   fallsSilent(0);
   Detector.arrived(0, Now - Duration(50'000));
   EXPECT_TRUE(Detector.silent(0));
--- a/UnitTests/Decisions/ServiceOwnerTest.cpp
+++ b/UnitTests/Decisions/ServiceOwnerTest.cpp
@@ -148,7 +148,7 @@
          f.end(1, DispatchEnd::Answered);
        },
        Ending::Answered, Reason::None, 1},
-      {"AuthorityLapsedForLong",
+      {"AuthorityExpiredForLong",
        [](F &f) {
          f.give(AuthorityChanged{false});
          f.give(F::request(1));
--- a/UnitTests/Membership/FleetLoop.cpp
+++ b/UnitTests/Membership/FleetLoop.cpp
@@ -113,8 +113,8 @@
     node.Fence->ticked(Now);
     step(i, MembershipEvent(MembershipTicked{}));
     if (node.Fence->state(Now) == AuthorityState::Renewed) {
-      step(i, OwnershipEvent(AuthorityLapsed{}));
-      node.Fence->restart(node.Fence->lapses(), Now);
+      step(i, OwnershipEvent(AuthorityExpired{}));
+      node.Fence->restart(node.Fence->expiries(), Now);
     }
     step(i, OwnershipEvent(OwnershipTicked{}));
   }
@@ -211,7 +211,7 @@
   } else if (const auto *renewed = std::get_if<LeaseRenewed>(&action)) {
     node.Fence->heard(renewed->Peer, renewed->SentAt, Now);
   } else if (std::holds_alternative<HeldForDead>(action)) {
-    step(i, OwnershipEvent(AuthorityLapsed{}));
+    step(i, OwnershipEvent(AuthorityExpired{}));
   } else if (std::holds_alternative<Superseded>(action)) {
     node.Running = false;
   } else if (const auto *heard = std::get_if<ConditionHeard>(&action)) {
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -48,12 +48,12 @@
   FleetLoop Fleet{FleetLoop::Options()}; ///< Under test.
 };
 
-// Story: a daemon leaves and says goodbye to one that has just started and
-// never heard of it. The starter ended with an exception, and its callers'
-// flows had to find another daemon. Cause: updates that an unknown daemon has
-// left is of no use and not kept, and the answer looked its sender up all the
-// same.
-TEST(MembershipGoodbyeTest, FromAStrangerIsPassedOver) {
+// Story: a daemon leaves and Announces that it leaves to one that has just
+// started and never heard of it. The starter ended with an exception, and its
+// callers' flows had to find another daemon. Cause: updates that an unknown
+// daemon has left is of no use and not kept, and the answer looked its sender
+// up all the same.
+TEST(MembershipLeaveTest, FromAStrangerIsPassedOver) {
   auto members =
       Membership::create(MembershipSettings(), vm("vm-1", "bern-a"), {7}, 1);
   ASSERT_TRUE(members.ok());
@@ -62,9 +62,9 @@
   EntryVm stranger = vm("vm-2", "bern-a");
   stranger.Leaving = true;
   for (MemberState state : {MemberState::Left, MemberState::Dead}) {
-    Ping goodbye{3, {stranger, {5}, 1, state}, {}};
+    Ping leave{3, {stranger, {5}, 1, state}, {}};
     for (const auto &action :
-         (*members)->step(now, MessageReceived{stranger, goodbye}))
+         (*members)->step(now, MessageReceived{stranger, leave}))
       EXPECT_FALSE(std::holds_alternative<SendTo>(action));
     EXPECT_EQ((*members)->members().count(stranger.Id), 0U);
   }
@@ -140,7 +140,7 @@
       EXPECT_TRUE(seen(i, k).live()) << i << " sees " << k;
 }
 
-TEST_F(MembershipTest, GoodbyeIsHeardWithoutSuspicion) {
+TEST_F(MembershipTest, LeaveIsHeardWithoutSuspicion) {
   Fleet.leave(0);
   auto actions = Fleet.nodes()[0]->Members->step(Fleet.now(), MembershipLeft{});
   bool told = std::any_of(actions.begin(), actions.end(), [](const auto &a) {
--- a/UnitTests/Membership/OwnershipFenceTest.cpp
+++ b/UnitTests/Membership/OwnershipFenceTest.cpp
@@ -35,7 +35,7 @@
   Fence->peersChanged({Peer}, Now);
   tickAndHearFor(60 * Second);
   EXPECT_TRUE(may());
-  EXPECT_EQ(Fence->lapses(), 0U);
+  EXPECT_EQ(Fence->expiries(), 0U);
 }
 
 // An owner is cut off from its domain. Others will take its servers over once
@@ -68,29 +68,29 @@
   TimePoint before = Now;
   Now += 3600 * Second;
   Fence->heard(Peer, before, Now);
-  EXPECT_EQ(Fence->state(Now), AuthorityState::Lapsed);
+  EXPECT_EQ(Fence->state(Now), AuthorityState::Expired);
   TimePoint sent = Now;
   Now += Duration(10'000);
   Fence->heard(Peer, sent, Now);
   EXPECT_EQ(Fence->state(Now), AuthorityState::Renewed);
   EXPECT_FALSE(may());
-  Fence->restart(Fence->lapses(), Now);
+  Fence->restart(Fence->expiries(), Now);
   EXPECT_TRUE(may());
 }
 
-// The ownership is put back for one lapse while the next one has begun: the
+// The ownership is put back for one expiry while the next one has begun: the
 // restart of the first must not end the second.
-TEST_F(OwnershipFenceTest, RestartOfAnEarlierLapseDoesNothing) {
+TEST_F(OwnershipFenceTest, RestartOfAnEarlierExpiryDoesNothing) {
   Fence->peersChanged({Peer}, Now);
   Now += 10 * Second;
   Fence->ticked(Now);
-  uint64_t lapse = Fence->lapses();
+  uint64_t expiry = Fence->expiries();
   Fence->heard(Peer, Now, Now);
   Now += 10 * Second;
   Fence->ticked(Now);
   Fence->heard(Peer, Now, Now);
-  EXPECT_GT(Fence->lapses(), lapse);
-  Fence->restart(lapse, Now);
+  EXPECT_GT(Fence->expiries(), expiry);
+  Fence->restart(expiry, Now);
   EXPECT_FALSE(may());
 }
 
@@ -100,14 +100,14 @@
   tickFor(Second);
   Now += 100 * Second;
   TimePoint woke = Now;
-  while (Fence->state(Now) == AuthorityState::Lapsed)
+  while (Fence->state(Now) == AuthorityState::Expired)
     tickFor(Duration(50'000));
   EXPECT_GE(Now - woke, Settings.takeoverWait());
   EXPECT_LE(Now - woke, Settings.takeoverWait() + Duration(100'000));
 }
 
 // The other daemon of a domain of two dies. The survivor serves on without a
-// lapse: death is found within its lease.
+// expiry: death is found within its lease.
 TEST_F(OwnershipFenceTest, SurvivorOfTwoServesOn) {
   Fence->peersChanged({Peer}, Now);
   tickAndHearFor(Second);
@@ -115,7 +115,7 @@
   Fence->peersChanged({}, Now);
   tickFor(10 * Second);
   EXPECT_TRUE(may());
-  EXPECT_EQ(Fence->lapses(), 0U);
+  EXPECT_EQ(Fence->expiries(), 0U);
 }
 
 } // namespace
--- a/UnitTests/Membership/OwnershipTrackerTest.cpp
+++ b/UnitTests/Membership/OwnershipTrackerTest.cpp
@@ -178,9 +178,9 @@
   EXPECT_TRUE(released[0].Message.Servers[0].Owned);
 }
 
-TEST_F(OwnershipTrackerTest, LapseGivesEverythingBack) {
+TEST_F(OwnershipTrackerTest, ExpiryGivesEverythingBack) {
   step(HandOverReceived{answerTo(meet())});
-  auto actions = step(AuthorityLapsed{});
+  auto actions = step(AuthorityExpired{});
   EXPECT_EQ(of<Lose>(actions).size(), 1U);
   EXPECT_FALSE(Tracker->owns(Server));
 }
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -99,7 +99,7 @@
   EXPECT_EQ(bench.Out.Resets[0].Flow, PacketBench::key(1));
   EXPECT_EQ(bench.Out.Resets[0].Acknowledged, 1000U);
   EXPECT_TRUE(
-      bench.Out.told(PacketEventKind::GivenUp, PacketReason::Unreachable));
+      bench.Out.reported(PacketEventKind::GivenUp, PacketReason::Unreachable));
   bench.asks(others[0], token, 1);
   EXPECT_EQ(bench.Out.Resets.size(), 2U) << "known by now";
 }
--- a/UnitTests/Packets/OpeningStoriesTest.cpp
+++ b/UnitTests/Packets/OpeningStoriesTest.cpp
@@ -139,7 +139,8 @@
   EXPECT_TRUE(bench.Out.Resets.empty()) << "its answer may have been lost";
   bench.pass(Duration(100'000));
   EXPECT_EQ(bench.Out.Resets.size(), 1U);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoAnswer));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoAnswer));
 }
 
 /// Copies that come here, each at its time; the others go to another daemon.
@@ -203,7 +204,7 @@
   EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
   EXPECT_EQ(bench.Out.Sent.size(), sent) << "so it is true that nothing ran";
   EXPECT_TRUE(
-      bench.Out.told(PacketEventKind::Refused, PacketReason::Unreachable));
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::Unreachable));
   bench.opens(8, 1);
   EXPECT_EQ(bench.Out.Resets.size(), resets + 1) << "its flow may be open";
   bench.pass(Duration(900'000));
--- a/UnitTests/Packets/PacketBench.h
+++ b/UnitTests/Packets/PacketBench.h
@@ -21,11 +21,11 @@
     Sent.push_back({to.At, to.Tag, to.Token});
   }
   void reset(const PacketHead &head) override { Resets.push_back(head); }
-  void tell(const PacketEvent &event) override {
+  void report(const PacketEvent &event) override {
     Kinds.push_back(event.Kind);
     Reasons.push_back(event.Why);
   }
-  bool told(PacketEventKind kind, PacketReason why) const {
+  bool reported(PacketEventKind kind, PacketReason why) const {
     for (size_t i = 0; i < Kinds.size(); ++i)
       if (Kinds[i] == kind && Reasons[i] == why)
         return true;
@@ -179,7 +179,7 @@
         Router.attemptEnded(Now, it.Server, AttemptEnd::Connected, Out);
       else
         failed.push_back(it);
-    // Their patience is over long after the others have connected.
+    // Their timeout is over long after the others have connected.
     for (const ConnectionAttempt &it : failed)
       Router.attemptEnded(Now, it.Server, AttemptEnd::Failed, Out);
   }
--- a/UnitTests/Packets/PacketLoadTest.cpp
+++ b/UnitTests/Packets/PacketLoadTest.cpp
@@ -109,7 +109,7 @@
       Site.arrives(to.Tag - 1, to.Token, call, packet[8] != 0);
     }
     void reset(const PacketHead &) override {}
-    void tell(const PacketEvent &) override {}
+    void report(const PacketEvent &) override {}
 
   private:
     LoadedSite &Site;
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -21,7 +21,7 @@
   }
   bench.speaks(1, token, 0, true);
   EXPECT_EQ(bench.lastTag(), home);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Ended, PacketReason::None));
+  EXPECT_TRUE(bench.Out.reported(PacketEventKind::Ended, PacketReason::None));
 }
 
 // Story: the fabric hands the packets of an open flow to another daemon, which
@@ -33,7 +33,8 @@
   first.opens(1);
   second.speaks(1, first.lastToken());
   EXPECT_EQ(second.lastTag(), first.lastTag());
-  EXPECT_TRUE(second.Out.told(PacketEventKind::Adopted, PacketReason::None));
+  EXPECT_TRUE(
+      second.Out.reported(PacketEventKind::Adopted, PacketReason::None));
 }
 
 // Story: a server dies. Its entry stands for three seconds more, and every
@@ -128,11 +129,12 @@
   bench.Router.attemptEnded(bench.Now, due[0].Server, AttemptEnd::Connected,
                             bench.Out);
   EXPECT_EQ(bench.Router.silentServers(), 0U);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::ServerBack, PacketReason::None));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::ServerBack, PacketReason::None));
 }
 
 // Story: an operator asks where a caller's next flow would go, and why. What is
-// told must be what then happens, whatever the daemon is in.
+// What is explained must be what then happens, whatever the daemon is in.
 TEST(PacketRouterTest, WhatIsToldOfAPlacingIsWhatHappens) {
   SeededRandom random(7);
   PacketBench bench;
@@ -144,19 +146,19 @@
        {"b4", "bern-b", "booking", ServerMode::Active, Duration(400'000)}});
   bench.Router.setFleet(3, 1);
   for (uint16_t port = 1; port <= 300; ++port) {
-    FlowExplanation told =
+    FlowExplanation explanation =
         bench.Router.explain(bench.Now, PacketBench::key(port));
-    EXPECT_FALSE(told.Known);
-    ASSERT_EQ(told.Refused, PacketReason::None);
+    EXPECT_FALSE(explanation.Known);
+    ASSERT_EQ(explanation.Refused, PacketReason::None);
     bench.opens(port);
     std::string went = "b" + std::to_string(bench.lastTag());
     bool agrees = false;
-    for (const ExplainedCandidate &it : told.Candidates)
+    for (const ExplainedCandidate &it : explanation.Candidates)
       agrees = agrees || (it.Best && it.Server.str() == went);
     EXPECT_TRUE(agrees) << port << " went to " << went;
-    told = bench.Router.explain(bench.Now, PacketBench::key(port));
-    EXPECT_TRUE(told.Known);
-    EXPECT_EQ(told.Home.str(), went);
+    explanation = bench.Router.explain(bench.Now, PacketBench::key(port));
+    EXPECT_TRUE(explanation.Known);
+    EXPECT_EQ(explanation.Home.str(), went);
     // Some servers answer, some flows end, time passes.
     if (random.below(5) != 0)
       bench.speaks(port, bench.lastToken(), 100, random.below(2) == 0);
@@ -194,7 +196,7 @@
   bench.speaks(9, GetParam().Token, 100, false, GetParam().Port);
   EXPECT_TRUE(bench.Out.Sent.empty());
   EXPECT_TRUE(bench.Out.Resets.empty());
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Dropped, GetParam().Why));
+  EXPECT_TRUE(bench.Out.reported(PacketEventKind::Dropped, GetParam().Why));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -213,8 +215,10 @@
   bench.configure(1, {{443, "booking"}});
   bench.opens(1);
   bench.opens(2, 0, 999);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoServer));
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoRoute));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoServer));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoRoute));
   EXPECT_EQ(bench.Out.Resets.size(), 2U);
 }
 
@@ -231,7 +235,8 @@
   bench.opens(1, 2);
   bench.pass(Duration(700'000));
   EXPECT_EQ(bench.Out.Resets.size(), 1U);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoAnswer));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoAnswer));
 }
 
 // Story: operators drop a route. The flow that is open on it gets its answer;
@@ -248,7 +253,8 @@
   bench.speaks(1, token);
   EXPECT_EQ(bench.Out.Sent.size(), before + 1);
   bench.opens(2);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoRoute));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoRoute));
 }
 
 TEST(PacketRouterTest, LeavingServersAndDomainsGetNoNewFlows) {
@@ -291,9 +297,9 @@
   EXPECT_GT(toCold, 4U);
 }
 
-// Story: the publishing service was away, and all entries lapsed though every
+// Story: the publishing service was away, and all entries expired though every
 // server lives. Openings must go on, spread over all of them.
-TEST(PacketRouterTest, ServersThatLapseTogetherStayInUse) {
+TEST(PacketRouterTest, ServersThatExpireTogetherStayInUse) {
   PacketBench bench;
   bench.usual();
   bench.gone({"b1", "b2", "b3", "b4"});
@@ -307,7 +313,8 @@
   EXPECT_TRUE(bench.Out.Resets.empty());
   bench.pass(Duration(2'100'000));
   bench.opens(100);
-  EXPECT_TRUE(bench.Out.told(PacketEventKind::Refused, PacketReason::NoServer));
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::NoServer));
 }
 
 TEST(PacketRouterTest, AServerThatDisappearsAloneIsTheLastChoice) {
