Compare published state by buckets and pull what differs in bounded answers

Cause: after a start of all, daemons list at slightly different revisions. A listing tells nothing of removals before it, so none could say what had changed between two of them, and each that lagged asked every peer it heard of for everything, up to 20 times a second, while the first answer of 260 KB was still on a link of 10 Mbit/s. An answer that came from another failure domain was passed on to the whole domain besides.

Change: a digest says how far back its holder's history reaches. Whoever holds less sends hashes of its objects in buckets by name and gets what exists in those that differ, 256 objects an answer, from a random bucket on, and asks on until the hash of all is equal, which completes it, a starter too. One request is under way at a time; answers are not passed on.

--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -146,6 +146,8 @@
   ar("f", m.After);
   ar("a", m.As);
   ar("o", m.Objects);
+  ar("c", m.BucketCount);
+  ar("b", m.Buckets);
 }
 
 template <class Ar>
@@ -153,6 +155,8 @@
   ar("a", m.As);
   ar("l", m.LastChange);
   ar("p", m.Present);
+  ar("h", m.HistoryFrom);
+  ar("n", m.Objects);
   ar("g", m.Age);
   ar("b", m.Prover);
   ar("k", m.ProverRank);
@@ -166,8 +170,14 @@
 }
 
 template <class Ar>
-void fields(Ar &ar, typename Ar::template Ref<PublishedRequest> m) {
+void fields(Ar &ar, typename Ar::template Ref<SectionRequest> m) {
   ar("a", m.After);
+  ar("b", m.BucketHashes);
+}
+
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<PublishedRequest> m) {
+  ar("s", m.Sections);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -13,6 +13,8 @@
   Revision As;          ///< Complete up to here; zero: nothing.
   Revision LastChange;  ///< See PublishedStore::lastChange().
   uint64_t Present = 0; ///< See PublishedStore::presentHash().
+  Revision HistoryFrom; ///< See PublishedStore::historyFrom().
+  uint32_t Objects = 0; ///< How many exist.
   Duration Age{0};      ///< Since a reader was told by the publishing service
                         ///< that nothing newer exists.
   uint64_t Prover = 0;  ///< VmId::hash() of that reader.
@@ -28,16 +30,25 @@
                       ///< domain.
 };
 
+/// What a daemon lacks of one section.
+struct SectionRequest {
+  Revision After; ///< Held up to here.
+  /// See PublishedStore::bucketHashes(); empty when the peer's history reaches
+  /// back to After.
+  std::vector<uint32_t> BucketHashes;
+};
+
 /// Asks a peer for what is lacking here.
 struct PublishedRequest {
-  std::vector<Revision> After; ///< One a section: held up to here.
+  std::vector<SectionRequest> Sections; ///< One a section, in their order.
 };
 
 /// Tells a peer what it lacks, or what has just changed.
 struct PublishedUpdate {
   std::vector<PublishedChanges> Changes; ///< At most one a section.
   std::vector<SectionDigest> Digests;    ///< As in an offer.
-  bool Relayed = false; ///< Passed on within a failure domain; not again.
+  bool Relayed = false; ///< Passed on within a failure domain, or an answer to
+                        ///< a request: not to be passed on.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Published/PublishedState.h
+++ b/Balsamrack/Published/PublishedState.h
@@ -100,6 +100,9 @@
                   ///< objects that exist are contained.
   Revision As;    ///< Up to this one.
   std::vector<PublishedObject> Objects; ///< The newest state of what changed.
+  uint32_t BucketCount = 0; ///< Not zero: the list is not by revision, but
+                            ///< holds what exists of some buckets.
+  std::vector<uint32_t> Buckets = {}; ///< Those: each below BucketCount.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Published/PublishedStore.cpp
+++ b/Balsamrack/Published/PublishedStore.cpp
@@ -1,13 +1,50 @@
 #include "Balsamrack/Published/PublishedStore.h"
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 
 namespace balsamrack {
 
-void PublishedStore::turn(Part &in, const PublishedObject &object) {
-  if (!object.gone())
-    in.Present ^= combineHash(stableHash(object.Name), object.At.Value);
+namespace {
+
+constexpr unsigned HashBits = 64;
+
+/// Bucket of the object \p name among \p count of them. Halves of a bucket are
+/// neighbours in twice as many.
+uint32_t bucketOf(const std::string &name, uint32_t count) {
+  return static_cast<uint32_t>(
+      (static_cast<unsigned __int128>(stableHash(name)) * count) >> HashBits);
+}
+
+} // namespace
+
+void PublishedStore::toggleHash(Part &in, const PublishedObject &object) {
+  uint64_t hash = combineHash(stableHash(object.Name), object.At.Value);
+  in.Present ^= hash;
+  in.Buckets[bucketOf(object.Name, MaxBuckets)] ^= hash;
+}
+
+void PublishedStore::addToHashes(Part &in, const PublishedObject &object) {
+  if (object.gone())
+    return;
+  toggleHash(in, object);
+  ++in.Existing;
+}
+
+void PublishedStore::removeFromHashes(Part &in, const PublishedObject &object) {
+  if (object.gone())
+    return;
+  toggleHash(in, object);
+  --in.Existing;
+}
+
+void PublishedStore::remove(Part &in, PublishedObject &object, Revision at) {
+  removeFromHashes(in, object);
+  object.At = at;
+  object.Content = std::monostate();
+  in.LastChange = std::max(in.LastChange, at);
+  in.Gone.push_back(object.Name);
 }
 
 bool PublishedStore::apply(Part &into, const PublishedObject &object) {
@@ -19,8 +56,8 @@
   if (object.gone() && !wasGone)
     into.Gone.push_back(object.Name);
   if (it != into.Objects.end())
-    turn(into, it->second);
-  turn(into, object);
+    removeFromHashes(into, it->second);
+  addToHashes(into, object);
   into.Objects[object.Name] = object;
   into.LastChange = std::max(into.LastChange, object.At);
   return !(object.gone() && wasGone);
@@ -53,16 +90,16 @@
     if (apply(into, object))
       changed.push_back(object);
   }
-  bool whole = changes.After == Revision{};
-  if (whole && changes.As > into.CompleteAs)
+  bool byBuckets = changes.BucketCount > 0;
+  bool whole = changes.After == Revision{} && !byBuckets;
+  std::set<uint32_t> buckets(changes.Buckets.begin(), changes.Buckets.end());
+  if ((whole || byBuckets) && changes.As > into.CompleteAs)
     for (auto &[name, object] : into.Objects) {
       if (object.gone() || object.At > changes.As || listed.count(name))
         continue;
-      turn(into, object);
-      object.At = changes.As;
-      object.Content = std::monostate();
-      into.LastChange = std::max(into.LastChange, object.At);
-      into.Gone.push_back(name);
+      if (byBuckets && buckets.count(bucketOf(name, changes.BucketCount)) == 0)
+        continue;
+      remove(into, object, changes.As);
       changed.push_back(object);
     }
   // Guards against a removed object that lives on at a peer: a listing does not
@@ -73,7 +110,7 @@
   }
   // A list of changes that begins after what is held leaves a gap, so it does
   // not complete the section.
-  if (whole || changes.After <= into.CompleteAs)
+  if (whole || (!byBuckets && changes.After <= into.CompleteAs))
     into.CompleteAs = std::max(into.CompleteAs, changes.As);
   forgetOldest(into);
   return changed;
@@ -82,9 +119,7 @@
 bool PublishedStore::completeUpTo(PublishedSection section, Revision lastChange,
                                   Revision as, uint64_t presentHash) {
   Part &into = Parts[static_cast<size_t>(section)];
-  if (into.CompleteAs == Revision{})
-    return false;
-  if (into.CompleteAs < lastChange) {
+  if (into.CompleteAs == Revision{} || into.CompleteAs < lastChange) {
     if (presentHash != into.Present)
       return false;
     // The same objects exist, but what came and went in between is not known.
@@ -113,6 +148,40 @@
   return changes;
 }
 
+std::vector<uint32_t> PublishedStore::bucketHashes(PublishedSection section,
+                                                   uint32_t count) const {
+  assert(validBucketCount(count));
+  std::vector<uint32_t> hashes(count);
+  for (uint32_t i = 0; i < MaxBuckets; ++i)
+    hashes[i / (MaxBuckets / count)] ^=
+        static_cast<uint32_t>(part(section).Buckets[i]);
+  return hashes;
+}
+
+PublishedChanges
+PublishedStore::differencesFrom(PublishedSection section,
+                                const std::vector<uint32_t> &theirs,
+                                uint32_t first, size_t most) const {
+  const Part &from = part(section);
+  auto count = static_cast<uint32_t>(theirs.size());
+  std::vector<uint32_t> ours = bucketHashes(section, count);
+  std::vector<std::vector<const PublishedObject *>> contents(count);
+  for (const auto &[name, object] : from.Objects)
+    if (!object.gone())
+      contents[bucketOf(name, count)].push_back(&object);
+  PublishedChanges changes{section, from.CompleteAs, from.CompleteAs, {}};
+  changes.BucketCount = count;
+  for (uint32_t i = 0; i < count && changes.Objects.size() < most; ++i) {
+    uint32_t bucket = (first + i) % count;
+    if (ours[bucket] == theirs[bucket])
+      continue;
+    changes.Buckets.push_back(bucket);
+    for (const PublishedObject *object : contents[bucket])
+      changes.Objects.push_back(*object);
+  }
+  return changes;
+}
+
 std::vector<PublishedObject>
 PublishedStore::objects(PublishedSection section) const {
   std::vector<PublishedObject> all;
--- a/Balsamrack/Published/PublishedStore.h
+++ b/Balsamrack/Published/PublishedStore.h
@@ -27,6 +27,8 @@
   /// everything. More are remembered only beyond a gap, until it is filled. A
   /// thousand cover about a day of server changes of a site.
   static constexpr size_t MaxGone = 1000;
+  /// Most buckets that a section's objects are compared by.
+  static constexpr uint32_t MaxBuckets = 1024;
 
   /// Merges \p changes; returns the objects whose state changed, as they are
   /// now. An object that disappears because a complete listing lacks it is
@@ -54,6 +56,31 @@
   uint64_t presentHash(PublishedSection section) const {
     return part(section).Present;
   }
+  /// Changes after this revision are known, those of removed objects too;
+  /// whoever holds less compares buckets.
+  Revision historyFrom(PublishedSection section) const {
+    return part(section).ForgotUpTo;
+  }
+  /// Number of objects of \p section that exist.
+  size_t objectCount(PublishedSection section) const {
+    return part(section).Existing;
+  }
+  /// Hashes of the objects of \p section that exist, in \p count buckets by
+  /// the hash of their names. Two holders of a section send each other only
+  /// what is in buckets that differ, whatever their histories know.
+  /// Precondition: validBucketCount(count).
+  std::vector<uint32_t> bucketHashes(PublishedSection section,
+                                     uint32_t count) const;
+  /// What exists in buckets whose hashes differ from \p theirs, from bucket
+  /// \p first on, until there are \p most objects. Precondition:
+  /// validBucketCount(theirs.size()).
+  PublishedChanges differencesFrom(PublishedSection section,
+                                   const std::vector<uint32_t> &theirs,
+                                   uint32_t first, size_t most) const;
+  /// True for a power of two up to MaxBuckets.
+  static bool validBucketCount(size_t count) {
+    return count > 0 && count <= MaxBuckets && (count & (count - 1)) == 0;
+  }
   /// True when all sections are completely known up to some revision.
   bool complete() const;
   /// What a holder of \p section up to \p after lacks.
@@ -69,14 +96,18 @@
     Revision ForgotUpTo; ///< Objects that went up to here may not be known.
     std::map<std::string, PublishedObject> Objects; ///< Gone ones included.
     uint64_t Present = 0;                           ///< See presentHash().
+    size_t Existing = 0;                            ///< See objectCount().
+    std::array<uint64_t, MaxBuckets> Buckets{};     ///< Present, by bucket.
     std::deque<std::string> Gone; ///< Names of gone objects, oldest first.
   };
 
   const Part &part(PublishedSection section) const {
     return Parts[static_cast<size_t>(section)];
   }
-  /// Takes \p object into, or out of, the hash of those that exist.
-  static void turn(Part &in, const PublishedObject &object);
+  static void addToHashes(Part &in, const PublishedObject &object);
+  static void removeFromHashes(Part &in, const PublishedObject &object);
+  static void toggleHash(Part &in, const PublishedObject &object);
+  static void remove(Part &in, PublishedObject &object, Revision at);
   static bool apply(Part &into, const PublishedObject &object);
   static void forgetOldest(Part &from);
 
--- a/Balsamrack/Published/StateExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -26,6 +26,16 @@
 constexpr size_t StartFanout = 2;
 /// Peers asked for updates after a pause.
 constexpr size_t WakeupFanout = 2;
+/// Objects a bucket: more make answers longer, fewer make requests longer.
+constexpr size_t ObjectsPerBucket = 4;
+
+uint32_t bucketCountFor(size_t objects) {
+  uint32_t count = 1;
+  while (count < PublishedStore::MaxBuckets &&
+         count * ObjectsPerBucket < objects)
+    count *= 2;
+  return count;
+}
 
 } // namespace
 
@@ -114,7 +124,7 @@
 std::vector<StateExchangeAction>
 StateExchange::requestAfterPause(TimePoint now) {
   for (bool ownDomain : {true, false})
-    send(pick(ownDomain, WakeupFanout), request());
+    send(pick(ownDomain, WakeupFanout), requestByRevision());
   for (PublishedSection section : AllSections)
     readIfWanted(now, section);
   return take();
@@ -232,20 +242,53 @@
     TimePoint proved = at(section).ProvedAt;
     Duration age = proved == TimePoint{} ? NeverProved
                                          : std::min(now - proved, NeverProved);
-    all.push_back({Store.completeAs(section), Store.lastChange(section),
-                   Store.presentHash(section), age, at(section).Prover,
-                   at(section).ProverRank});
+    SectionDigest digest;
+    digest.As = Store.completeAs(section);
+    digest.LastChange = Store.lastChange(section);
+    digest.Present = Store.presentHash(section);
+    digest.HistoryFrom = Store.historyFrom(section);
+    digest.Objects = static_cast<uint32_t>(Store.objectCount(section));
+    digest.Age = age;
+    digest.Prover = at(section).Prover;
+    digest.ProverRank = at(section).ProverRank;
+    all.push_back(digest);
   }
   return all;
 }
 
-PublishedRequest StateExchange::request() const {
+PublishedRequest StateExchange::requestByRevision() const {
   PublishedRequest request;
   for (PublishedSection section : AllSections)
-    request.After.push_back(Store.completeAs(section));
+    request.Sections.push_back({Store.completeAs(section), {}});
   return request;
 }
 
+PublishedRequest
+StateExchange::requestFor(const std::vector<SectionDigest> &theirs) const {
+  PublishedRequest request = requestByRevision();
+  for (size_t i = 0; i < std::min(theirs.size(), AllSections.size()); ++i) {
+    PublishedSection section = AllSections[i];
+    SectionRequest &wanted = request.Sections[i];
+    if (theirs[i].As <= wanted.After || wanted.After >= theirs[i].HistoryFrom)
+      continue;
+    size_t objects =
+        std::max<size_t>(Store.objectCount(section), theirs[i].Objects);
+    wanted.BucketHashes = Store.bucketHashes(section, bucketCountFor(objects));
+  }
+  return request;
+}
+
+void StateExchange::requestIfBehind(TimePoint now, const EntryVm &peer,
+                                    const std::vector<SectionDigest> &theirs) {
+  // Guards against a link that fills with answers: whoever lags is behind each
+  // peer that it hears of while the first answer is under way.
+  if (!isBehind(theirs) || now < NextRequest)
+    return;
+  NextRequest = now + Settings.RequestTimeout;
+  AskedPeer = peer.Id;
+  send({peer}, requestFor(theirs));
+}
+
 bool StateExchange::mergeDigests(TimePoint now,
                                  const std::vector<SectionDigest> &digests) {
   bool newer = false;
@@ -269,7 +312,7 @@
   return newer;
 }
 
-bool StateExchange::lacks(const std::vector<SectionDigest> &theirs) const {
+bool StateExchange::isBehind(const std::vector<SectionDigest> &theirs) const {
   for (size_t i = 0; i < std::min(theirs.size(), AllSections.size()); ++i)
     if (theirs[i].As > Store.completeAs(AllSections[i]))
       return true;
@@ -281,12 +324,7 @@
                             const PublishedDigest &offer) {
   if (mergeDigests(now, offer.Digests) && offer.Relay)
     sendDigestToDomain(now, Settings.DomainFanout);
-  // Guards against a fleet that starts, where each daemon would be sent
-  // everything by everybody whose offer comes before the first answer.
-  if (lacks(offer.Digests) && now >= NextRequest) {
-    NextRequest = now + Settings.RequestPeriod;
-    send({from}, request());
-  }
+  requestIfBehind(now, from, offer.Digests);
   bool theyLack = false;
   for (size_t i = 0; i < std::min(offer.Digests.size(), AllSections.size());
        ++i)
@@ -300,18 +338,37 @@
 std::vector<StateExchangeAction>
 StateExchange::handleRequest(TimePoint now, const EntryVm &from,
                              const PublishedRequest &request) {
-  PublishedUpdate update;
-  for (size_t i = 0; i < std::min(request.After.size(), AllSections.size());
-       ++i) {
-    PublishedSection section = AllSections[i];
-    if (Store.completeAs(section) > request.After[i])
-      update.Changes.push_back(Store.changesAfter(section, request.After[i]));
-  }
-  update.Digests = digests(now);
-  send({from}, std::move(update));
+  PublishedUpdate answer;
+  size_t n = std::min(request.Sections.size(), AllSections.size());
+  for (size_t i = 0; i < n; ++i)
+    answerSection(request.Sections[i], AllSections[i], answer);
+  answer.Digests = digests(now);
+  answer.Relayed = true;
+  send({from}, std::move(answer));
   return take();
 }
 
+void StateExchange::answerSection(const SectionRequest &request,
+                                  PublishedSection section,
+                                  PublishedUpdate &answer) {
+  if (Store.completeAs(section) <= request.After)
+    return;
+  if (request.After >= Store.historyFrom(section)) {
+    answer.Changes.push_back(Store.changesAfter(section, request.After));
+    return;
+  }
+  // Without hashes the digest that goes with the answer has to do: the peer
+  // learns from it that it needs to send them.
+  size_t count = request.BucketHashes.size();
+  if (!PublishedStore::validBucketCount(count))
+    return;
+  // From a random bucket on, so that daemons that start together learn of
+  // different servers first.
+  auto first = static_cast<uint32_t>(Random.below(count));
+  answer.Changes.push_back(Store.differencesFrom(
+      section, request.BucketHashes, first, Settings.ObjectsPerAnswer));
+}
+
 std::vector<StateExchangeAction>
 StateExchange::handleUpdate(TimePoint now, const EntryVm &from,
                             const PublishedUpdate &update) {
@@ -319,12 +376,10 @@
   for (const PublishedChanges &changes : update.Changes)
     changed = !merge(changes, from.Id).empty() || changed;
   mergeDigests(now, update.Digests);
-  bool gap = std::any_of(update.Changes.begin(), update.Changes.end(),
-                         [this](const PublishedChanges &it) {
-                           return it.As > Store.completeAs(it.Section);
-                         });
-  if (gap)
-    send({from}, request());
+  // An answer that brought nothing would bring nothing again.
+  if (from.Id == AskedPeer && (changed || !isBehind(update.Digests)))
+    NextRequest = now;
+  requestIfBehind(now, from, update.Digests);
   if (changed && !update.Relayed && from.Domain != Self.Domain) {
     PublishedUpdate relay = update;
     relay.Relayed = true;
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -36,11 +36,14 @@
   Duration StartWait{300'000};     ///< It waits so long for that, and up to
                                    ///< StartSpan more, at random.
   Duration DigestPeriod{250'000};  ///< One peer is told what is held here.
-  Duration RequestPeriod{50'000};  ///< Between requests that offers give rise
-                                   ///< to: an answer takes some milliseconds.
-  Duration MinBackoff{250'000};    ///< Between reads, after a failure.
-  Duration MaxBackoff{2'000'000};  ///< After many failures, for the first
-                                   ///< daemon of a domain.
+  Duration RequestTimeout{400'000}; ///< One request is under way at a time; it
+                                    ///< is taken for lost after this.
+  size_t ObjectsPerAnswer = 256;  ///< An answer by buckets ends after so many:
+                                  ///< it fills a link of 10 Mbit/s for some
+                                  ///< 20 ms, so that callers' packets pass.
+  Duration MinBackoff{250'000};   ///< Between reads, after a failure.
+  Duration MaxBackoff{2'000'000}; ///< After many failures, for the first
+                                  ///< daemon of a domain.
   Duration MaxBackoffOfOthers{8'000'000}; ///< For the others: they are told
                                           ///< when the service answers again.
   Duration OperatorsPeriod{20'000};       ///< Between reads of what operators
@@ -168,10 +171,15 @@
   void failed(TimePoint now, const PublishedRead &read,
               const absl::Status &status);
   std::vector<SectionDigest> digests(TimePoint now) const;
-  PublishedRequest request() const;
+  PublishedRequest requestFor(const std::vector<SectionDigest> &theirs) const;
+  PublishedRequest requestByRevision() const;
+  void requestIfBehind(TimePoint now, const EntryVm &peer,
+                       const std::vector<SectionDigest> &theirs);
+  void answerSection(const SectionRequest &request, PublishedSection section,
+                     PublishedUpdate &answer);
   bool mergeDigests(TimePoint now, const std::vector<SectionDigest> &digests);
   TimePoint nextReadAfter(TimePoint now, const PublishedRead &read);
-  bool lacks(const std::vector<SectionDigest> &theirs) const;
+  bool isBehind(const std::vector<SectionDigest> &theirs) const;
   std::vector<PublishedObject> merge(const PublishedChanges &changes,
                                      const VmId &from);
   PublishedChanges changesOfListing(PublishedSection section,
@@ -196,7 +204,8 @@
   size_t Place = 0;       ///< In the order of the own domain's daemons.
   size_t DomainPlace = 0; ///< Of the own domain in the order of all domains.
   TimePoint StartedAt;    ///< Of the first tick.
-  TimePoint NextRequest;  ///< Not before; see RequestPeriod.
+  TimePoint NextRequest;  ///< Not before; see RequestTimeout.
+  VmId AskedPeer;         ///< Who got the last request.
   TimePoint NextDigest;   ///< Of one random peer.
   bool DomainTurn = true; ///< Whose turn the next offer is.
   std::vector<StateExchangeAction> Actions; ///< Of the call under way.
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -88,8 +88,14 @@
   PublishedObject gone{
       PublishedSection::Servers, "i-80", {11}, std::monostate()};
   return {{{PublishedSection::Operators, {5}, {12}, {configuration(), out}},
-           {PublishedSection::Servers, {}, {12}, {publishedServer(), gone}}},
-          {{{12}, {10}, 77, Duration(3)}, {{12}, {11}, 78, Duration(4)}},
+           {PublishedSection::Servers,
+            {12},
+            {12},
+            {publishedServer(), gone},
+            4,
+            {0, 3}}},
+          {{{12}, {10}, 77, {9}, 5, Duration(3)},
+           {{12}, {11}, 78, {8}, 6, Duration(4)}},
           true};
 }
 
@@ -162,8 +168,8 @@
                          1,
                          true,
                          {VmId("vm-1"), VmId("vm-2")}},
-          PublishedDigest{{{{12}, {10}, 77, Duration(3)}}, true},
-          PublishedRequest{{{12}, {11}}},
+          PublishedDigest{{{{12}, {10}, 77, {9}, 5, Duration(3)}}, true},
+          PublishedRequest{{{{12}, {}}, {{11}, {1, 0}}}},
           publishedUpdate()};
 }
 
--- a/UnitTests/Published/ExchangeFleet.h
+++ b/UnitTests/Published/ExchangeFleet.h
@@ -1,12 +1,15 @@
 #ifndef BALSAMRACK_UNITTESTS_PUBLISHED_EXCHANGEFLEET_H
 #define BALSAMRACK_UNITTESTS_PUBLISHED_EXCHANGEFLEET_H
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
 #include <string>
 #include <vector>
 
+#include "Balsamrack/Peers/PeerCodec.h"
 #include "Balsamrack/Published/StateExchange.h"
 
 namespace balsamrack {
@@ -40,17 +43,17 @@
              nullptr});
       }
     publish();
-    for (size_t i = 0; i < Nodes.size(); ++i)
-      restart(i);
+    restartAll();
   }
   /// Starts node \p i anew, with nothing held.
   void restart(size_t i) {
-    Node &node = Nodes[i];
-    node.Running = true;
-    node.Random = std::make_unique<SeededRandom>(Random.next());
-    node.Exchange = std::make_unique<StateExchange>(StateExchangeSettings(),
-                                                    node.Vm, *node.Random);
-    ++Lives;
+    startEmpty(i);
+    meet();
+  }
+  /// Starts all nodes anew at once.
+  void restartAll() {
+    for (size_t i = 0; i < Nodes.size(); ++i)
+      startEmpty(i);
     meet();
   }
   void kill(size_t i) {
@@ -92,8 +95,49 @@
                    std::shared_ptr<const PublishedServer>(made)}}});
     answerWatches();
   }
+  /// Many servers publish their entries at once.
+  void addServers(size_t count) {
+    PublishedChanges all{PublishedSection::Servers, {Revisions}, {}, {}};
+    for (size_t i = 0; i < count; ++i) {
+      auto made = std::make_shared<PublishedServer>();
+      std::string id = "i-" + std::to_string(i);
+      made->Server.Id = ServerId(id);
+      made->Server.Service = ServiceId("booking");
+      made->Server.Domain = DomainId("d0");
+      made->Server.At = {"10.9.0.1", static_cast<uint16_t>(i)};
+      made->Tag = stableHash(id);
+      Revisions += 3;
+      all.Objects.push_back({PublishedSection::Servers,
+                             id,
+                             {Revisions},
+                             std::shared_ptr<const PublishedServer>(made)});
+    }
+    all.As = {Revisions};
+    Truth.merge(all);
+    answerWatches();
+  }
+  /// A server's entry is removed.
+  void removeServer(const std::string &id) {
+    Revisions += 3;
+    Truth.merge({PublishedSection::Servers,
+                 {Revisions - 3},
+                 {Revisions},
+                 {{PublishedSection::Servers, id, {Revisions}, {}}}});
+    answerWatches();
+  }
+  /// True when all running nodes hold the servers as published.
+  bool allHoldServers() const {
+    return std::all_of(Nodes.begin(), Nodes.end(), [this](const Node &it) {
+      return !it.Running ||
+             (it.Exchange->store().completeAs(PublishedSection::Servers) !=
+                  Revision{} &&
+              it.Exchange->store().presentHash(PublishedSection::Servers) ==
+                  Truth.presentHash(PublishedSection::Servers));
+    });
+  }
   void run(Duration span) {
     for (TimePoint until = Now + span; Now < until; Now += Duration(10'000)) {
+      takeSnapshot();
       while (!Events.empty() && Events.top().At <= Now) {
         auto what = Events.top().Do;
         Events.pop();
@@ -127,7 +171,10 @@
   std::function<bool(const Node &, const Node &)> Reaches =
       [](const Node &, const Node &) { return true; };
   bool HistoryDropped = false; ///< No watch can be answered any more.
+  Duration ListingAge{0};      ///< A listing that may be old is up to this old.
   uint64_t ObjectsTold = 0;    ///< In updates, by all nodes.
+  uint64_t BytesSent = 0;      ///< Of messages, by all nodes, as encoded.
+  uint64_t LongestMessage = 0; ///< In bytes.
   uint64_t RestlessTicks = 0;  ///< After which another one was due at once.
   uint64_t Version = 0;
   TimePoint Now{Duration(1'000'000)};
@@ -147,6 +194,27 @@
     PublishedRead Read;
     bool Open = true;
   };
+  void startEmpty(size_t i) {
+    Node &node = Nodes[i];
+    node.Running = true;
+    node.Random = std::make_unique<SeededRandom>(Random.next());
+    node.Exchange = std::make_unique<StateExchange>(StateExchangeSettings(),
+                                                    node.Vm, *node.Random);
+    ++Lives;
+  }
+  void takeSnapshot() {
+    if (ListingAge == Duration{0} || Now < NextSnapshot)
+      return;
+    NextSnapshot = Now + SnapshotPeriod;
+    Snapshots.emplace_back(Now, Truth);
+    while (Snapshots.front().first + ListingAge < Now)
+      Snapshots.pop_front();
+  }
+  const PublishedStore &listed(const PublishedRead &read) {
+    return read.MayBeOld && !Snapshots.empty()
+               ? Snapshots[Random.below(Snapshots.size())].second
+               : Truth;
+  }
   void after(Duration wait, std::function<void()> what) {
     Events.push({Now + wait, ++Orders, std::move(what)});
   }
@@ -168,13 +236,20 @@
   }
   void act(size_t i, const std::vector<StateExchangeAction> &actions) {
     for (const StateExchangeAction &action : actions) {
-      if (const auto *send = std::get_if<SendStateMessage>(&action))
+      if (const auto *send = std::get_if<SendStateMessage>(&action)) {
+        countBytes(*send);
         for (const EntryVm &to : send->To)
           deliver(i, to, *send);
-      else if (const auto *read = std::get_if<StartRead>(&action))
+      } else if (const auto *read = std::get_if<StartRead>(&action))
         begin(i, read->What);
     }
   }
+  void countBytes(const SendStateMessage &send) {
+    uint64_t bytes = std::visit(
+        [](const auto &it) { return encodePeerMessage(it).size(); }, send.What);
+    BytesSent += bytes * send.To.size();
+    LongestMessage = std::max(LongestMessage, bytes);
+  }
   void deliver(size_t from, const EntryVm &peer, const SendStateMessage &send) {
     ++Nodes[from].Messages;
     if (const auto *update = std::get_if<PublishedUpdate>(&send.What))
@@ -216,7 +291,7 @@
       return;
     if (read.After == Revision{}) {
       after(Duration(4'000), [this, watch] {
-        end(*watch, Truth.changesAfter(watch->Read.Section, {}));
+        end(*watch, listed(watch->Read).changesAfter(watch->Read.Section, {}));
       });
       return;
     }
@@ -250,8 +325,12 @@
     });
   }
 
+  static constexpr Duration SnapshotPeriod{250'000};
+
   SeededRandom Random;
   PublishedStore Truth;
+  std::deque<std::pair<TimePoint, PublishedStore>> Snapshots; ///< Of Truth.
+  TimePoint NextSnapshot;
   uint64_t Revisions = 0;
   uint64_t Orders = 0;
   uint64_t Lives = 0;
--- a/UnitTests/Published/PublishedStoreTest.cpp
+++ b/UnitTests/Published/PublishedStoreTest.cpp
@@ -201,5 +201,85 @@
   }
 }
 
+/// What \p asker gets from \p peer when it compares \p buckets of them.
+PublishedChanges differences(const PublishedStore &asker,
+                             const PublishedStore &peer, uint32_t buckets) {
+  return peer.differencesFrom(Section, asker.bucketHashes(Section, buckets), 0,
+                              PublishedStore::MaxGone);
+}
+
+class EachBucketCount : public testing::TestWithParam<uint32_t> {};
+
+// Guards against a removed server that lives on at a daemon which learns the
+// state by buckets, and against one that is newer here and gets lost.
+TEST_P(EachBucketCount, DifferencesTellWhatIsNewAndWhatIsGone) {
+  PublishedStore peer;
+  peer.merge({Section, {}, {20}, {server("b", 4), server("c", 15)}});
+  PublishedStore asker;
+  asker.merge({Section, {}, {10}, {server("a", 3), server("b", 4)}});
+  asker.merge({Section, {21}, {25}, {server("new", 25)}});
+  asker.merge(differences(asker, peer, GetParam()));
+  EXPECT_EQ(held(asker), (std::map<std::string, uint64_t>{
+                             {"b", 4}, {"c", 15}, {"new", 25}}));
+  EXPECT_EQ(asker.completeAs(Section), Revision{10});
+}
+
+// Guards against a daemon that starts, learns of all servers by buckets, and
+// never takes itself for complete.
+TEST_P(EachBucketCount, ADaemonThatHeldNothingIsCompletedByTheHash) {
+  PublishedStore peer;
+  peer.merge({Section, {}, {20}, {server("b", 4), server("c", 15)}});
+  PublishedStore starter;
+  starter.merge(differences(starter, peer, GetParam()));
+  EXPECT_EQ(starter.completeAs(Section), Revision{});
+  EXPECT_TRUE(starter.completeUpTo(Section, peer.lastChange(Section), {20},
+                                   peer.presentHash(Section)));
+  EXPECT_EQ(held(starter), held(peer));
+  // It does not know what came and went before.
+  EXPECT_EQ(starter.historyFrom(Section), Revision{20});
+}
+
+// Guards against answers that never end, or leave something out, when each
+// holds only a part of what differs.
+TEST_P(EachBucketCount, BoundedAnswersEndInTheSameState) {
+  constexpr size_t Most = 5;
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    SeededRandom random(seed);
+    PublishedStore peer, asker;
+    peer.merge({Section, {}, {1}, {}});
+    asker.merge({Section, {}, {1}, {}});
+    uint64_t at = 1;
+    for (int i = 0; i < 200; ++i) {
+      std::string id = "s" + std::to_string(random.below(100));
+      ++at;
+      PublishedChanges change{
+          Section,
+          {at - 1},
+          {at},
+          {random.below(3) == 0 ? goneServer(id, at) : server(id, at)}};
+      peer.merge(change);
+      if (random.below(3) == 0)
+        asker.merge(change);
+    }
+    size_t rounds = 0;
+    while (asker.presentHash(Section) != peer.presentHash(Section) &&
+           rounds++ < 100) {
+      auto first = static_cast<uint32_t>(random.below(GetParam()));
+      asker.merge(peer.differencesFrom(
+          Section, asker.bucketHashes(Section, GetParam()), first, Most));
+    }
+    EXPECT_EQ(held(asker), held(peer)) << "seed " << seed;
+    EXPECT_TRUE(asker.completeUpTo(Section, peer.lastChange(Section),
+                                   peer.completeAs(Section),
+                                   peer.presentHash(Section)));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Counts, EachBucketCount,
+                         testing::Values(1, 16, PublishedStore::MaxBuckets),
+                         [](const auto &info) {
+                           return std::to_string(info.param);
+                         });
+
 } // namespace
 } // namespace balsamrack
--- /dev/null
+++ b/UnitTests/Published/StateExchangeLoadTest.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include "UnitTests/Published/ExchangeFleet.h"
+
+namespace balsamrack {
+namespace {
+
+constexpr Duration Second{1'000'000};
+/// What a daemon may send for control while servers are released.
+constexpr double ReleaseBytesPerSecond = 20'000;
+/// Longer messages hold up callers' packets on a link of 10 Mbit/s.
+constexpr uint64_t LongestMessage = 64 * 1024;
+
+/// A fleet, the servers before it, and how often a server changes.
+struct Fleet {
+  const char *Name;
+  size_t Domains;
+  size_t PerDomain;
+  size_t Servers;
+};
+
+class EachFleet : public testing::TestWithParam<Fleet> {};
+
+// Guards against daemons that list at different revisions and then send each
+// other everything.
+TEST_P(EachFleet, AStartOfAllCostsLittleAndEndsInOneState) {
+  ExchangeFleet fleet(GetParam().Domains, GetParam().PerDomain, 1);
+  fleet.addServers(GetParam().Servers);
+  fleet.ListingAge = Second * 2;
+  auto release = [&](int changes, Duration period) {
+    for (int i = 0; i < changes; ++i) {
+      if (i % 2 == 0)
+        fleet.serverChanges("i-" + std::to_string(i));
+      else
+        fleet.removeServer("i-" + std::to_string(i));
+      fleet.run(period);
+    }
+  };
+  release(20, Second / 10);
+  fleet.restartAll();
+  fleet.BytesSent = fleet.LongestMessage = 0;
+  release(40, Second / 10);
+  fleet.run(Second * 2);
+  EXPECT_TRUE(fleet.allHoldServers());
+  EXPECT_LE(fleet.LongestMessage, LongestMessage);
+  double perDaemon = static_cast<double>(fleet.BytesSent) / 6 /
+                     static_cast<double>(fleet.Nodes.size());
+  printf("%s: %.0f bytes a second and daemon\n", GetParam().Name, perDaemon);
+  EXPECT_LE(perDaemon, ReleaseBytesPerSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, EachFleet,
+                         testing::Values(Fleet{"Thirty", 4, 8, 300},
+                                         Fleet{"Hundred", 4, 25, 1000},
+                                         Fleet{"ThreeHundred", 4, 75, 3000}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
+// Guards against a daemon that starts while the store turns it away, and whose
+// peers would each send it everything in one message.
+TEST(StateExchangeLoadTest, AStarterWithoutTheStoreCopiesTheStateOnce) {
+  constexpr size_t Servers = 3000;
+  ExchangeFleet fleet(4, 8, 1);
+  fleet.addServers(Servers);
+  fleet.run(Second * 4);
+  ASSERT_TRUE(fleet.allHoldServers());
+  fleet.Nodes[0].Reads = ExchangeFleet::Source::Refuses;
+  fleet.restart(0);
+  fleet.ObjectsTold = fleet.LongestMessage = 0;
+  fleet.run(Second);
+  EXPECT_TRUE(fleet.allHoldServers());
+  EXPECT_LE(fleet.ObjectsTold, Servers * 3 / 2);
+  EXPECT_LE(fleet.LongestMessage, LongestMessage);
+}
+
+} // namespace
+} // namespace balsamrack
