Be ready only once a server that takes new flows was reached

Cause: in a failure domain that is taken out and then cut off, a daemon that restarts gets its state from its neighbours and counted as ready until callers' openings had found out that no server answers. One ready daemon out of ten is fewer than half, so the fabric sends all callers of the domain to all of its daemons again, and each is refused. A new entry in what is published, not tried yet, ended the state as well.

Change: ReachMonitor. A daemon is ready once a server that takes new flows took a connection or opened a flow, and after the loss of all only once one did so again.

PacketDaemonTest.IsNotReadyWhileNoServerCanBeReached took a daemon for ready before its server had answered anything, which is the fault; its server listens first now, and IsNotReadyBeforeAServerWasReached plays the other case.

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -115,7 +115,7 @@
   // then cut off: its daemons can reach no server, and would refuse their
   // callers for as long as the cut lasts. Not ready, they leave them to daemons
   // of other domains, which the fabric can still reach.
-  return HasRoutes && !Leaving && !Lane->outOfReach();
+  return HasRoutes && !Leaving && Lane->provedReach();
 }
 
 Answer PacketDaemon::answerReady(const Message &message) const {
--- a/Balsamrack/Daemon/PacketLane.cpp
+++ b/Balsamrack/Daemon/PacketLane.cpp
@@ -50,15 +50,24 @@
 void PacketLane::stop() {
   if (Stopping.exchange(true))
     return;
+  wakeUp();
+  Loop.join();
+}
+
+void PacketLane::wakeUp() {
   uint64_t one = 1;
   // A full counter wakes the thread as well.
   (void)!write(Wake, &one, sizeof one);
-  Loop.join();
 }
 
 void PacketLane::setRoutes(std::shared_ptr<const PacketRoutes> routes) {
   std::lock_guard<std::mutex> hold(Lock);
   Router.setRoutes(std::move(routes));
+  noteReach();
+  // Whether servers can be reached is tried at once, not when the thread looks
+  // around next.
+  if (!Router.provedReach())
+    wakeUp();
 }
 
 void PacketLane::setFleet(size_t daemons, size_t self) {
@@ -133,6 +142,9 @@
   auto millis =
       static_cast<int>((micros + MicrosPerMilli - 1) / MicrosPerMilli);
   poll(polled.data(), polled.size(), millis);
+  uint64_t count = 0;
+  // Nothing to read: another descriptor ended the wait, or the time is over.
+  (void)!read(Wake, &count, sizeof count);
 }
 
 void PacketLane::noteTime(TimePoint now) {
@@ -176,11 +188,12 @@
 }
 
 void PacketLane::noteReach() {
-  bool out = Router.outOfReach();
-  if (OutOfReach.exchange(out) == out)
+  bool proved = Router.provedReach();
+  if (ProvedReach.exchange(proved) == proved)
     return;
-  Watch.log(LogLine(Part::Entry, out ? Severity::Warning : Severity::Info,
-                    out ? "servers-out-of-reach" : "servers-in-reach")
+  Watch.log(LogLine(Part::Entry, proved ? Severity::Info : Severity::Warning,
+                    proved ? "servers-in-reach" : "servers-out-of-reach")
+                .text("reach", reachStateName(Router.reach()))
                 .number("silent", Router.silentServers()));
 }
 
--- a/Balsamrack/Daemon/PacketLane.h
+++ b/Balsamrack/Daemon/PacketLane.h
@@ -74,7 +74,7 @@
   /// All servers that are remembered.
   std::vector<LaneServer> servers();
   /// See PacketRouter; as of the last look around.
-  bool outOfReach() const { return OutOfReach.load(); }
+  bool provedReach() const { return ProvedReach.load(); }
   /// Packets taken in so far.
   uint64_t received() const { return Received.load(); }
   /// Ends the thread. Idempotent.
@@ -91,6 +91,7 @@
   void takePackets(TimePoint now);
   void noteTime(TimePoint now);
   void noteReach();
+  void wakeUp();
   void publishFigures(TimePoint now);
 
   const PacketCodec &Codec;
@@ -98,7 +99,7 @@
   const Clock &Time;
   PacketTelemetry &Watch;
   const OnPause Paused;
-  const int Wake;          ///< Ends the thread's wait.
+  const int Wake;          ///< Ends the thread's wait; see wakeUp().
   ConnectionProber Prober; ///< The thread's own.
   TimePoint LastLoop;      ///< The thread's own.
   TimePoint NextFigures;   ///< The thread's own.
@@ -109,7 +110,7 @@
   TimePoint StaleUntil; ///< Zero: not stale.
 
   std::atomic<uint64_t> Received{0};
-  std::atomic<bool> OutOfReach{false};
+  std::atomic<bool> ProvedReach{true};
   std::atomic<bool> Stopping{false};
   std::thread Loop; ///< Last, so that all above is there when it starts.
 };
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -97,6 +97,37 @@
   return any;
 }
 
+bool PacketRouter::anyTakesNew() const {
+  return std::any_of(Servers.services().begin(), Servers.services().end(),
+                     [](const auto &it) { return !it.second.TakeNew.empty(); });
+}
+
+void PacketRouter::updateReach(TimePoint now) {
+  if (Reach.state() != ReachState::Lost && outOfReach())
+    Reach.noteLost(now);
+}
+
+void PacketRouter::noteReached(ServerIndex server) {
+  // Servers of a failure domain that was taken out may still be in reach when
+  // all others are not.
+  if (Servers.at(server).Is.takesNew())
+    Reach.noteReached();
+}
+
+std::vector<ServerIndex> PacketRouter::serversToProbe(TimePoint now) {
+  if (!Routes || !anyTakesNew() || !Reach.takeProbe(now))
+    return {};
+  // Two, since one may be dead.
+  std::vector<ServerIndex> all;
+  for (const auto &[id, service] : Servers.services())
+    all.insert(all.end(), service.TakeNew.begin(), service.TakeNew.end());
+  size_t first = Random.below(all.size());
+  if (all.size() == 1)
+    return {all[first]};
+  size_t second = (first + 1 + Random.below(all.size() - 1)) % all.size();
+  return {all[first], all[second]};
+}
+
 bool PacketRouter::sendElsewhere(TimePoint now, RememberedFlow &flow,
                                  const PacketHead &head, const uint8_t *bytes,
                                  size_t n, PacketSink &out) {
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -323,6 +323,7 @@
   event.Took = now - flow.OpenedAt;
   event.Tries = flow.Tries;
   out.report(event);
+  noteReached(flow.Home);
   Detector.arrived(flow.Home, flow.LastSent);
   bool domainWas = Detector.silent(flow.Home);
   bool was = Detector.answered(now, flow.Home);
@@ -344,6 +345,7 @@
     return;
   bool silent = Detector.silent(server);
   if (how == AttemptEnd::Connected) {
+    noteReached(server);
     bool was = Detector.connected(now, server);
     noteBack(server, was, silent, out);
     return;
@@ -371,6 +373,8 @@
   if (!servers.empty())
     if (auto control = Detector.control(now, servers.front()))
       servers.push_back(*control);
+  for (ServerIndex server : serversToProbe(now))
+    servers.push_back(server);
   std::vector<ConnectionAttempt> attempts;
   for (size_t server : servers) {
     auto index = static_cast<ServerIndex>(server);
@@ -397,6 +401,7 @@
 }
 
 void PacketRouter::tick(TimePoint now, PacketSink &out) {
+  updateReach(now);
   tickWaiting(now, Waiting, out);
   tickWaiting(now, LastCopies, out);
   placeHeldOpenings(now, out);
@@ -483,6 +488,8 @@
   // Slots get free as packets come in, and each packet is followed by a tick.
   if (!Late.empty() && Routes)
     next = std::min(next, Late.front().Until);
+  if (Routes && anyTakesNew())
+    next = std::min(next, Reach.nextProbe());
   return std::min(next, Detector.nextDue());
 }
 
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -10,6 +10,7 @@
 #include "Balsamrack/Core/Random.h"
 #include "Balsamrack/Decisions/FailureDetector.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
+#include "Balsamrack/Decisions/ReachMonitor.h"
 #include "Balsamrack/Packets/FlowExplanation.h"
 #include "Balsamrack/Packets/FlowMemory.h"
 #include "Balsamrack/Packets/OpeningQueue.h"
@@ -104,6 +105,13 @@
   /// True when servers take new flows, and none of them, of whatever service,
   /// can be reached from here: others may serve what this daemon can't.
   bool outOfReach() const;
+  /// True when no server takes new flows, or one that does was reached; see
+  /// ReachMonitor.
+  bool provedReach() const {
+    return !anyTakesNew() || Reach.state() == ReachState::Reached;
+  }
+  /// What is known of the way to servers.
+  ReachState reach() const { return Reach.state(); }
   /// Number of remembered flows.
   size_t flows() const { return Flows.size(); }
   /// The servers with their counts.
@@ -173,6 +181,10 @@
   const ServiceId *serviceFor(const FlowKey &key) const;
   PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
   bool allUnreachable(const ServiceId &service);
+  bool anyTakesNew() const;
+  void updateReach(TimePoint now);
+  void noteReached(ServerIndex server);
+  std::vector<ServerIndex> serversToProbe(TimePoint now);
   void forward(ServerIndex to, const uint8_t *bytes, size_t n,
                PacketSink &out) const;
   void refuse(const PacketHead &head, PacketReason why, PacketSink &out);
@@ -191,6 +203,7 @@
   std::shared_ptr<const PacketRoutes> Routes; ///< In force; null at first.
   ServerTable Servers;                        ///< Servers, counts and shares.
   FlowMemory Flows;                           ///< Flows of this daemon.
+  ReachMonitor Reach;                         ///< Of any server.
   FailureDetector Detector;                   ///< Who does not answer.
   OpeningTimeout Timeout;                     ///< For openings.
   OpeningQueue Held;                          ///< Wait for updates.
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -160,12 +160,32 @@
   ReservedPort serverAt;
   LateSource source;
   source.ServerAt = serverAt.at();
+  auto server = ListenSocket::open(serverAt.at());
+  ASSERT_TRUE(server.ok()) << server.status();
   auto daemon = start(source);
   ASSERT_TRUE(daemon.ok()) << daemon.status();
   ASSERT_TRUE(until([&] { return (*daemon)->ready(); }));
+  server = absl::UnavailableError("stopped");
   for (uint8_t caller = 1; caller <= 3; ++caller)
     sendOpening(caller);
   EXPECT_TRUE(until([&] { return !(*daemon)->ready(); }));
+  server = ListenSocket::open(serverAt.at());
+  ASSERT_TRUE(server.ok()) << server.status();
+  EXPECT_TRUE(until([&] { return (*daemon)->ready(); }));
+}
+
+// Guards against a daemon that restarts in a failure domain that is cut off: it
+// was ready until it found out, and drew all callers of its domain back.
+TEST_F(PacketDaemonTest, IsNotReadyBeforeAServerWasReached) {
+  ReservedPort serverAt;
+  LateSource source;
+  source.ServerAt = serverAt.at();
+  auto daemon = start(source);
+  ASSERT_TRUE(daemon.ok()) << daemon.status();
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_FALSE((*daemon)->ready());
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   auto server = ListenSocket::open(serverAt.at());
   ASSERT_TRUE(server.ok()) << server.status();
   EXPECT_TRUE(until([&] { return (*daemon)->ready(); }));
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -120,6 +120,7 @@
   PacketBench bench;
   bench.configure(1, {{443, "booking"}});
   bench.servers({{"b1", "bern-a"}});
+  bench.attempt([](ServerIndex) { return true; });
   bench.opens(1);
   bench.opens(2);
   bench.pass(Duration(60'000));
