Leave first copies to other domains while the fabric turns away

Cause: a failure domain that is out and cut off is out of reach of servers, and says so, but the fabric takes up to 1.5 s to send its callers elsewhere. Until then each try was refused at once and the next one came back at once: all three were over before the fabric had turned.

The caller's next copies reach daemons that can serve them. Where the domain has servers of its own that take new flows, a cut hides none of them, so they are dead and callers are refused at once as before.

--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -54,7 +54,12 @@
   // are all out of reach: told at once, they can come back or go elsewhere. A
   // later copy is no new call: another daemon may have opened its flow.
   if (head.Copy == 0 && allUnreachable(*service)) {
-    refuse(head, PacketReason::Unreachable, out);
+    updateReach(now);
+    if (leavesRotation(now))
+      out.report(eventOf(PacketEventKind::Dropped, PacketReason::Unreachable,
+                         head.Flow, NoServerIndex));
+    else
+      refuse(head, PacketReason::Unreachable, out);
     return;
   }
   RememberedFlow spare;
@@ -102,6 +107,27 @@
                      [](const auto &it) { return !it.second.TakeNew.empty(); });
 }
 
+bool PacketRouter::homeTakesNew() const {
+  return std::any_of(
+      Servers.services().begin(), Servers.services().end(),
+      [this](const auto &service) {
+        return std::any_of(
+            service.second.TakeNew.begin(), service.second.TakeNew.end(),
+            [this](ServerIndex it) {
+              return Servers.at(it).Is.What->Server.Domain == Settings.Domain;
+            });
+      });
+}
+
+bool PacketRouter::leavesRotation(TimePoint now) const {
+  // Guards against callers whose tries are all refused before the fabric has
+  // turned to other failure domains, which can serve them: what they send next
+  // reaches those. Where servers of the own domain take new flows, it is these
+  // that are dead, and others can't serve either.
+  return Reach.state() == ReachState::Lost &&
+         now < Reach.lostAt() + Settings.RotationSpan && !homeTakesNew();
+}
+
 void PacketRouter::updateReach(TimePoint now) {
   if (Reach.state() != ReachState::Lost && outOfReach())
     Reach.noteLost(now);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -38,6 +38,9 @@
                                      ///< retransmissions wait 1.6 s at most.
   Duration OpenKeep{20'000'000}; ///< A silent open flow is forgotten; its token
                                  ///< still names its server.
+  Duration RotationSpan{1'500'000}; ///< By then the fabric sends callers to
+                                    ///< others: it asks twice a second, and
+                                    ///< two misses count.
   FailureDetectorSettings Detector; ///< Of the failure detector.
 };
 
@@ -182,6 +185,8 @@
   PacketReason resolve(const PacketHead &head, ServerIndex &found) const;
   bool allUnreachable(const ServiceId &service);
   bool anyTakesNew() const;
+  bool homeTakesNew() const;
+  bool leavesRotation(TimePoint now) const;
   void updateReach(TimePoint now);
   void noteReached(ServerIndex server);
   std::vector<ServerIndex> serversToProbe(TimePoint now);
--- a/UnitTests/Packets/OpeningStoriesTest.cpp
+++ b/UnitTests/Packets/OpeningStoriesTest.cpp
@@ -175,14 +175,23 @@
                            return std::string(info.param.Name);
                          });
 
-// Story: operators take a failure domain out, and it is cut off from the others
-// at the same time. Its callers can't be served, and each waited until its time
-// was over. Once the servers out of reach have refused connections too, callers
-// are told at once; as soon as one is back, they are served.
-TEST(OpeningStoriesTest, CallersAreToldAtOnceThatAllServersAreOutOfReach) {
+/// Where the servers that can't be reached stand, and for how long others may
+/// serve the callers instead.
+struct OutOfReach {
+  const char *Name;
+  const char *Domain;
+  Duration LeftToOthers;
+};
+
+class EachOutOfReach : public testing::TestWithParam<OutOfReach> {};
+
+// Guards against callers that wait until their time is over for servers that
+// are all out of reach, and against refusing them while the fabric still turns
+// to daemons that can serve them.
+TEST_P(EachOutOfReach, CallersAreRefusedAtOnceThatNobodyCanServe) {
   PacketBench bench;
   bench.configure(1, {{443, "booking"}});
-  bench.servers({{"b1", "bern-b"}, {"b2", "bern-b"}});
+  bench.servers({{"b1", GetParam().Domain}, {"b2", GetParam().Domain}});
   for (uint16_t port = 1; port <= 4; ++port)
     bench.opens(port);
   bench.pass(Duration(100'000));
@@ -200,6 +209,12 @@
   endAttempts(AttemptEnd::Failed);
   size_t sent = bench.Out.Sent.size();
   size_t resets = bench.Out.Resets.size();
+  if (GetParam().LeftToOthers > Duration{0}) {
+    bench.opens(10);
+    EXPECT_EQ(bench.Out.Resets.size(), resets) << "others can serve it";
+    bench.pass(GetParam().LeftToOthers);
+    endAttempts(AttemptEnd::Failed);
+  }
   bench.opens(7);
   EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
   EXPECT_EQ(bench.Out.Sent.size(), sent) << "so it is true that nothing ran";
@@ -214,5 +229,12 @@
   EXPECT_EQ(bench.Out.Resets.size(), resets + 1);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Domains, EachOutOfReach,
+    testing::Values(OutOfReach{"Own", "bern-a", Duration(0)},
+                    OutOfReach{"Other", "bern-b",
+                               PacketBench::settings().RotationSpan}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Packets/ReachTest.cpp
+++ b/UnitTests/Packets/ReachTest.cpp
@@ -73,5 +73,39 @@
   EXPECT_TRUE(bench.Router.provedReach());
 }
 
+// Guards against callers whose tries are all refused before the fabric sends
+// them to failure domains that can serve them.
+TEST(ReachTest, FirstCopiesAreLeftToOthersWhileTheFabricTurnsAway) {
+  PacketBench bench;
+  bench.usual();
+  bench.attempt([](ServerIndex) { return true; });
+  bench.domainOut("bern-a");
+  while (bench.Router.provedReach()) {
+    static uint16_t port = 100;
+    bench.opens(++port);
+    bench.pass(Millisecond * 60);
+    bench.attempt([](ServerIndex) { return false; });
+  }
+  bench.Out.Resets.clear();
+  bench.opens(1);
+  EXPECT_TRUE(bench.Out.Resets.empty());
+  bench.pass(PacketBench::settings().RotationSpan);
+  bench.opens(2);
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+}
+
+// Guards against callers that wait for nothing where no daemon can serve them:
+// the domain's own servers, which no cut hides, are dead.
+TEST(ReachTest, ADomainWhoseOwnServersAreDeadRefusesAtOnce) {
+  PacketBench bench;
+  bench.usual();
+  bench.attempt([](ServerIndex) { return true; });
+  loseAll(bench);
+  ASSERT_FALSE(bench.Router.provedReach());
+  bench.Out.Resets.clear();
+  bench.opens(99);
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+}
+
 } // namespace
 } // namespace balsamrack
