Send only few changes of servers to whole domains; copy more from each other

Cause: a reader sends what a watch brings to up to 64 daemons of its domain and two of each other one, which relay it. When a failure domain's servers go or come back, that is some 100 KB 64 times: seconds of a link of 10 Mbit/s. Every daemon that watches after a start, before it knows the others, does the same.

Change: of more than 32 changes of servers a reader advertises only, to three daemons of each domain; whoever has copied all advertises on. Configurations go to all at once as before.

--- a/Balsamrack/Published/StateExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -377,8 +377,12 @@
     changed = !merge(changes, from.Id).empty() || changed;
   mergeDigests(now, update.Digests);
   // An answer that brought nothing would bring nothing again.
-  if (from.Id == AskedPeer && (changed || !isBehind(update.Digests)))
+  if (from.Id == AskedPeer && (changed || !isBehind(update.Digests))) {
     NextRequest = now;
+    AskedPeer = VmId();
+    if (changed && !isBehind(update.Digests))
+      sendDigestToDomain(now, Settings.PullFanout);
+  }
   requestIfBehind(now, from, update.Digests);
   if (changed && !update.Relayed && from.Domain != Self.Domain) {
     PublishedUpdate relay = update;
@@ -434,11 +438,27 @@
     Actions.emplace_back(SendStateMessage{std::move(to), std::move(what)});
 }
 
+bool StateExchange::isBroadcast(const PublishedChanges &changes) const {
+  return changes.Section == PublishedSection::Operators ||
+         changes.Objects.size() <= Settings.MostBroadcast ||
+         Peers.size() <= Settings.WholeFleetFanout;
+}
+
+void StateExchange::advertise(TimePoint now) {
+  sendDigestToDomain(now, Settings.PullFanout);
+  send(pickOfOtherDomains(ElsewhereFanout),
+       PublishedDigest{digests(now), true, false});
+}
+
 void StateExchange::broadcastToDomain(const PublishedUpdate &update) {
   send(pick(true, Settings.DomainFanout), update);
 }
 
 void StateExchange::broadcastToFleet(TimePoint now, PublishedChanges changes) {
+  if (!isBroadcast(changes)) {
+    advertise(now);
+    return;
+  }
   PublishedUpdate update;
   update.Changes.push_back(std::move(changes));
   update.Digests = digests(now);
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -52,8 +52,12 @@
                                    ///< several a second, and each change would
                                    ///< cost a call of each reader. Servers
                                    ///< drain for three seconds at least.
-  size_t DomainFanout = 64;     ///< Peers of the own domain that are told of a
-                                ///< change at once; more hear by offers.
+  size_t DomainFanout = 64;  ///< Peers of the own domain that are told of a
+                             ///< change at once; more hear by offers.
+  size_t MostBroadcast = 32; ///< Changes of servers that are sent to a domain
+                             ///< at once; of more, daemons copy what they lack
+                             ///< from each other, or a reader's link fills.
+  size_t PullFanout = 3; ///< Peers that hear that there is something to copy.
   size_t WholeFleetFanout = 16; ///< A fleet up to this size is told as a whole.
 };
 
@@ -184,6 +188,8 @@
                                      const VmId &from);
   PublishedChanges changesOfListing(PublishedSection section,
                                     std::vector<PublishedObject> changed) const;
+  bool isBroadcast(const PublishedChanges &changes) const;
+  void advertise(TimePoint now);
   void broadcastToDomain(const PublishedUpdate &update);
   void broadcastToFleet(TimePoint now, PublishedChanges changes);
   void sendDigest(TimePoint now, const EntryVm &peer, bool answer);
--- a/UnitTests/Published/ExchangeFleet.h
+++ b/UnitTests/Published/ExchangeFleet.h
@@ -29,6 +29,7 @@
     uint64_t Calls = 0;
     uint64_t Watches = 0; ///< Those of Calls that are no first listing.
     uint64_t Messages = 0;
+    uint64_t BytesSent = 0; ///< Of messages, as encoded.
   };
 
   ExchangeFleet(size_t domains, size_t perDomain, uint64_t seed)
@@ -96,9 +97,11 @@
     answerWatches();
   }
   /// Many servers publish their entries at once.
-  void addServers(size_t count) {
+  void addServers(size_t count) { addServers(0, count); }
+  /// As above, servers \p first to \p last - 1.
+  void addServers(size_t first, size_t last) {
     PublishedChanges all{PublishedSection::Servers, {Revisions}, {}, {}};
-    for (size_t i = 0; i < count; ++i) {
+    for (size_t i = first; i < last; ++i) {
       auto made = std::make_shared<PublishedServer>();
       std::string id = "i-" + std::to_string(i);
       made->Server.Id = ServerId(id);
@@ -116,6 +119,20 @@
     Truth.merge(all);
     answerWatches();
   }
+  /// Many entries are removed at once.
+  void removeServers(size_t first, size_t last) {
+    PublishedChanges all{PublishedSection::Servers, {Revisions}, {}, {}};
+    for (size_t i = first; i < last; ++i) {
+      Revisions += 3;
+      all.Objects.push_back({PublishedSection::Servers,
+                             "i-" + std::to_string(i),
+                             {Revisions},
+                             {}});
+    }
+    all.As = {Revisions};
+    Truth.merge(all);
+    answerWatches();
+  }
   /// A server's entry is removed.
   void removeServer(const std::string &id) {
     Revisions += 3;
@@ -237,17 +254,18 @@
   void act(size_t i, const std::vector<StateExchangeAction> &actions) {
     for (const StateExchangeAction &action : actions) {
       if (const auto *send = std::get_if<SendStateMessage>(&action)) {
-        countBytes(*send);
+        countBytes(i, *send);
         for (const EntryVm &to : send->To)
           deliver(i, to, *send);
       } else if (const auto *read = std::get_if<StartRead>(&action))
         begin(i, read->What);
     }
   }
-  void countBytes(const SendStateMessage &send) {
+  void countBytes(size_t from, const SendStateMessage &send) {
     uint64_t bytes = std::visit(
         [](const auto &it) { return encodePeerMessage(it).size(); }, send.What);
     BytesSent += bytes * send.To.size();
+    Nodes[from].BytesSent += bytes * send.To.size();
     LongestMessage = std::max(LongestMessage, bytes);
   }
   void deliver(size_t from, const EntryVm &peer, const SendStateMessage &send) {
--- a/UnitTests/Published/StateExchangeLoadTest.cpp
+++ b/UnitTests/Published/StateExchangeLoadTest.cpp
@@ -74,5 +74,37 @@
   EXPECT_LE(fleet.LongestMessage, LongestMessage);
 }
 
+// Guards against a reader whose link fills for seconds, since it sends all that
+// a failure domain's servers have changed to each daemon of its own.
+TEST(StateExchangeLoadTest, ALostDomainsServersFillNobodysLink) {
+  constexpr size_t Servers = 3000, OfDomain = 750, Batch = 250;
+  // A tenth of a link of 10 Mbit/s.
+  constexpr double LinkBytesPerSecond = 125'000;
+  ExchangeFleet fleet(4, 75, 1);
+  fleet.addServers(Servers);
+  fleet.run(Second * 4);
+  ASSERT_TRUE(fleet.allHoldServers());
+  for (auto &node : fleet.Nodes)
+    node.BytesSent = 0;
+  for (size_t i = 0; i < OfDomain; i += Batch) {
+    fleet.removeServers(i, i + Batch);
+    fleet.run(Second / 2);
+  }
+  fleet.run(Second * 2);
+  EXPECT_TRUE(fleet.allHoldServers());
+  for (size_t i = 0; i < OfDomain; i += Batch) {
+    fleet.addServers(i, i + Batch);
+    fleet.run(Second / 2);
+  }
+  fleet.run(Second * 2);
+  EXPECT_TRUE(fleet.allHoldServers());
+  uint64_t most = 0;
+  for (const auto &node : fleet.Nodes)
+    most = std::max(most, node.BytesSent);
+  printf("the busiest sends %.0f bytes a second\n",
+         static_cast<double>(most) / 7);
+  EXPECT_LE(static_cast<double>(most) / 7, LinkBytesPerSecond);
+}
+
 } // namespace
 } // namespace balsamrack
