Split the copying of state from who reads, and say both in the field's words

Moved, not changed; the list of sections stands with its type. Comments of the settings in plain terms.

--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -15,17 +15,17 @@
   uint64_t Present = 0; ///< See PublishedStore::presentHash().
   Revision HistoryFrom; ///< See PublishedStore::historyFrom().
   uint32_t Objects = 0; ///< How many exist.
-  Duration Age{0};      ///< Since a reader was told by the publishing service
-                        ///< that nothing newer exists.
+  Duration Age{0};      ///< Since the publishing service said to a reader that
+                        ///< nothing newer exists.
   uint64_t Prover = 0;  ///< VmId::hash() of that reader.
   uint32_t ProverRank = 0; ///< Zero: a regular reader; else one more than its
                            ///< place among its domain's daemons.
 };
 
-/// Tells a peer what is held here.
+/// Says what is held here, for a peer to compare.
 struct PublishedDigest {
   std::vector<SectionDigest> Digests; ///< One a section, in their order.
-  bool Answer = false;                ///< Answers an offer: needs none itself.
+  bool Answer = false;                ///< Answers a digest: needs none itself.
   bool Relay = false; ///< Carries a new proof: pass it on within the failure
                       ///< domain.
 };
@@ -43,10 +43,10 @@
   std::vector<SectionRequest> Sections; ///< One a section, in their order.
 };
 
-/// Tells a peer what it lacks, or what has just changed.
+/// What a peer lacks, or what has just changed.
 struct PublishedUpdate {
   std::vector<PublishedChanges> Changes; ///< At most one a section.
-  std::vector<SectionDigest> Digests;    ///< As in an offer.
+  std::vector<SectionDigest> Digests;    ///< As in a digest.
   bool Relayed = false; ///< Passed on within a failure domain, or an answer to
                         ///< a request: not to be passed on.
 };
--- a/Balsamrack/Published/PublishedState.h
+++ b/Balsamrack/Published/PublishedState.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_PUBLISHED_PUBLISHEDSTATE_H
 #define BALSAMRACK_PUBLISHED_PUBLISHEDSTATE_H
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -73,6 +74,9 @@
 };
 /// Number of sections.
 constexpr size_t PublishedSections = 2;
+/// All sections, in their order.
+constexpr std::array<PublishedSection, PublishedSections> AllSections = {
+    PublishedSection::Operators, PublishedSection::Servers};
 
 /// Name of a section in lower case. Thread-safe.
 const char *sectionName(PublishedSection section);
--- a/Balsamrack/Published/PublishedStore.h
+++ b/Balsamrack/Published/PublishedStore.h
@@ -22,10 +22,9 @@
 /// unknown object that is older than that must have gone, and stays away.
 class PublishedStore {
 public:
-  /// Objects that are gone are remembered up to this number, so that peers
-  /// that lag can be told by a list of changes; a peer that lags further gets
-  /// everything. More are remembered only beyond a gap, until it is filled. A
-  /// thousand cover about a day of server changes of a site.
+  /// Tombstones of removed objects are kept up to this number, so that a peer
+  /// that lags can be answered with a list of changes; one that lags further
+  /// compares buckets. More are kept only beyond a gap, until it is filled.
   static constexpr size_t MaxGone = 1000;
   /// Most buckets that a section's objects are compared by.
   static constexpr uint32_t MaxBuckets = 1024;
--- /dev/null
+++ b/Balsamrack/Published/StateCopies.cpp
@@ -0,0 +1,187 @@
+#include <algorithm>
+#include <utility>
+
+#include "Balsamrack/Published/StateExchange.h"
+
+// The part of StateExchange that compares what peers hold and copies what is
+// lacking.
+
+namespace balsamrack {
+
+namespace {
+
+/// A proof of this age or more proves nothing; keeps sums of ages in range.
+constexpr Duration NeverProved{3'600'000'000};
+/// A proof that is newer than the last by less is not passed on.
+constexpr Duration LeastNewer{500'000};
+/// Objects a bucket: more make answers longer, fewer make requests longer.
+constexpr size_t ObjectsPerBucket = 4;
+
+uint32_t bucketCountFor(size_t objects) {
+  uint32_t count = 1;
+  while (count < PublishedStore::MaxBuckets &&
+         count * ObjectsPerBucket < objects)
+    count *= 2;
+  return count;
+}
+
+} // namespace
+
+std::vector<SectionDigest> StateExchange::digests(TimePoint now) const {
+  std::vector<SectionDigest> all;
+  for (PublishedSection section : AllSections) {
+    TimePoint proved = at(section).ProvedAt;
+    Duration age = proved == TimePoint{} ? NeverProved
+                                         : std::min(now - proved, NeverProved);
+    SectionDigest digest;
+    digest.As = Store.completeAs(section);
+    digest.LastChange = Store.lastChange(section);
+    digest.Present = Store.presentHash(section);
+    digest.HistoryFrom = Store.historyFrom(section);
+    digest.Objects = static_cast<uint32_t>(Store.objectCount(section));
+    digest.Age = age;
+    digest.Prover = at(section).Prover;
+    digest.ProverRank = at(section).ProverRank;
+    all.push_back(digest);
+  }
+  return all;
+}
+
+PublishedRequest StateExchange::requestByRevision() const {
+  PublishedRequest request;
+  for (PublishedSection section : AllSections)
+    request.Sections.push_back({Store.completeAs(section), {}});
+  return request;
+}
+
+PublishedRequest
+StateExchange::requestFor(const std::vector<SectionDigest> &theirs) const {
+  PublishedRequest request = requestByRevision();
+  for (size_t i = 0; i < std::min(theirs.size(), AllSections.size()); ++i) {
+    PublishedSection section = AllSections[i];
+    SectionRequest &wanted = request.Sections[i];
+    if (theirs[i].As <= wanted.After || wanted.After >= theirs[i].HistoryFrom)
+      continue;
+    size_t objects =
+        std::max<size_t>(Store.objectCount(section), theirs[i].Objects);
+    wanted.BucketHashes = Store.bucketHashes(section, bucketCountFor(objects));
+  }
+  return request;
+}
+
+void StateExchange::requestIfBehind(TimePoint now, const EntryVm &peer,
+                                    const std::vector<SectionDigest> &theirs) {
+  // Guards against a link that fills with answers: whoever lags is behind each
+  // peer that it hears of while the first answer is under way.
+  if (!isBehind(theirs) || now < NextRequest)
+    return;
+  NextRequest = now + Settings.RequestTimeout;
+  AskedPeer = peer.Id;
+  send({peer}, requestFor(theirs));
+}
+
+bool StateExchange::mergeDigests(TimePoint now,
+                                 const std::vector<SectionDigest> &digests) {
+  bool newer = false;
+  for (size_t i = 0; i < std::min(digests.size(), AllSections.size()); ++i) {
+    const SectionDigest &theirs = digests[i];
+    PublishedSection section = AllSections[i];
+    if (theirs.As > Store.completeAs(section))
+      Store.completeUpTo(section, theirs.LastChange, theirs.As, theirs.Present);
+    // What they had proved to be the newest is no newer than what is held.
+    bool held =
+        theirs.As != Revision{} && theirs.As <= Store.completeAs(section);
+    if (!held || theirs.Age >= NeverProved)
+      continue;
+    SectionState &state = at(section);
+    TimePoint proved = now - theirs.Age;
+    if (yieldsTo(theirs))
+      state.TakenOver = false;
+    newer = newer || proved > state.ProvedAt + LeastNewer;
+    setProved(section, proved, theirs.Prover, theirs.ProverRank);
+  }
+  return newer;
+}
+
+bool StateExchange::isBehind(const std::vector<SectionDigest> &theirs) const {
+  for (size_t i = 0; i < std::min(theirs.size(), AllSections.size()); ++i)
+    if (theirs[i].As > Store.completeAs(AllSections[i]))
+      return true;
+  return false;
+}
+
+std::vector<StateExchangeAction>
+StateExchange::handleDigest(TimePoint now, const EntryVm &from,
+                            const PublishedDigest &digest) {
+  if (mergeDigests(now, digest.Digests) && digest.Relay)
+    sendDigestToDomain(now, Settings.DomainFanout);
+  requestIfBehind(now, from, digest.Digests);
+  bool theyLack = false;
+  size_t n = std::min(digest.Digests.size(), AllSections.size());
+  for (size_t i = 0; i < n; ++i)
+    theyLack =
+        theyLack || digest.Digests[i].As < Store.completeAs(AllSections[i]);
+  if (theyLack && !digest.Answer)
+    sendDigest(now, from, true);
+  return take();
+}
+
+std::vector<StateExchangeAction>
+StateExchange::handleRequest(TimePoint now, const EntryVm &from,
+                             const PublishedRequest &request) {
+  PublishedUpdate answer;
+  size_t n = std::min(request.Sections.size(), AllSections.size());
+  for (size_t i = 0; i < n; ++i)
+    answerSection(request.Sections[i], AllSections[i], answer);
+  answer.Digests = digests(now);
+  answer.Relayed = true;
+  send({from}, std::move(answer));
+  return take();
+}
+
+void StateExchange::answerSection(const SectionRequest &request,
+                                  PublishedSection section,
+                                  PublishedUpdate &answer) {
+  if (Store.completeAs(section) <= request.After)
+    return;
+  if (request.After >= Store.historyFrom(section)) {
+    answer.Changes.push_back(Store.changesAfter(section, request.After));
+    return;
+  }
+  // Without hashes the digest that goes with the answer has to do: the peer
+  // learns from it that it needs to send them.
+  size_t count = request.BucketHashes.size();
+  if (!PublishedStore::validBucketCount(count))
+    return;
+  // From a random bucket on, so that daemons that start together learn of
+  // different servers first.
+  auto first = static_cast<uint32_t>(Random.below(count));
+  answer.Changes.push_back(Store.differencesFrom(
+      section, request.BucketHashes, first, Settings.ObjectsPerAnswer));
+}
+
+std::vector<StateExchangeAction>
+StateExchange::handleUpdate(TimePoint now, const EntryVm &from,
+                            const PublishedUpdate &update) {
+  bool changed = false;
+  for (const PublishedChanges &changes : update.Changes)
+    changed = !merge(changes, from.Id).empty() || changed;
+  mergeDigests(now, update.Digests);
+  // An answer that brought nothing would bring nothing again.
+  if (from.Id == AskedPeer && (changed || !isBehind(update.Digests))) {
+    NextRequest = now;
+    AskedPeer = VmId();
+    if (changed && !isBehind(update.Digests))
+      sendDigestToDomain(now, Settings.PullFanout);
+  }
+  requestIfBehind(now, from, update.Digests);
+  if (changed && !update.Relayed && from.Domain != Self.Domain) {
+    PublishedUpdate relay = update;
+    relay.Relayed = true;
+    relay.Digests = digests(now);
+    broadcastToDomain(relay);
+  }
+  return take();
+}
+
+} // namespace balsamrack
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -17,48 +17,49 @@
 
 /// Times and limits of the state exchange.
 struct StateExchangeSettings {
-  Duration Watch{2'000'000}; ///< One watch of the publishing service waits so
-                             ///< long: its answer is the proof that the service
-                             ///< still speaks to its reader.
-  size_t RegularReaders = 2; ///< Failure domains whose first daemon reads all
-                             ///< the time. Two, so that one that fails or is
-                             ///< cut off delays nothing.
-  Duration TakeoverAge{2'600'000}; ///< Updates without such a proof for longer:
-                                   ///< others read too. A watch and its way to
-                                   ///< all peers fit in.
-  Duration TakeoverStep{200'000};  ///< The second daemon of a domain waits
-                                   ///< longer by this, each further one by
-                                   ///< twice as much as the one before: while
-                                   ///< the service is away few ask it.
-  Duration StartSpan{2'000'000};   ///< A daemon younger than this may not know
-                                   ///< yet who else is there: it reads only
-                                   ///< when no peer proves its state in time.
-  Duration StartWait{300'000};     ///< It waits so long for that, and up to
-                                   ///< StartSpan more, at random.
-  Duration DigestPeriod{250'000};  ///< One peer is told what is held here.
-  Duration RequestTimeout{400'000}; ///< One request is under way at a time; it
-                                    ///< is taken for lost after this.
-  size_t ObjectsPerAnswer = 256;  ///< An answer by buckets ends after so many:
-                                  ///< it fills a link of 10 Mbit/s for some
-                                  ///< 20 ms, so that callers' packets pass.
+  /// How long a watch of the publishing service waits. Its answer proves that
+  /// the service still speaks to its reader.
+  Duration Watch{2'000'000};
+  /// Failure domains whose first daemon reads all the time. Two, so that one
+  /// that fails or is cut off delays nothing.
+  size_t RegularReaders = 2;
+  /// Age of the last such proof from which other daemons read too. A watch and
+  /// its way to all peers fit in.
+  Duration TakeoverAge{2'600'000};
+  /// Further wait of the second daemon of a domain; each one after it waits
+  /// twice as long, so that few ask a service that is away.
+  Duration TakeoverStep{200'000};
+  /// A daemon younger than this may not know its peers yet: it reads only when
+  /// none of them proves its state in time.
+  Duration StartSpan{2'000'000};
+  /// Least wait for that proof; up to StartSpan is added at random.
+  Duration StartWait{300'000};
+  Duration DigestPeriod{250'000}; ///< Between digests to one random peer each.
+  /// One request is under way at a time; it counts as lost after this.
+  Duration RequestTimeout{400'000};
+  /// Least number of objects after which an answer by buckets ends. It fills a
+  /// link of 10 Mbit/s for some 20 ms, so that callers' packets pass.
+  size_t ObjectsPerAnswer = 256;
   Duration MinBackoff{250'000};   ///< Between reads, after a failure.
   Duration MaxBackoff{2'000'000}; ///< After many failures, for the first
                                   ///< daemon of a domain.
-  Duration MaxBackoffOfOthers{8'000'000}; ///< For the others: they are told
-                                          ///< when the service answers again.
-  Duration OperatorsPeriod{20'000};       ///< Between reads of what operators
-                                    ///< publish, whatever the service answers.
-  Duration ServersPeriod{500'000}; ///< As above, of servers: a release changes
-                                   ///< several a second, and each change would
-                                   ///< cost a call of each reader. Servers
-                                   ///< drain for three seconds at least.
-  size_t DomainFanout = 64;  ///< Peers of the own domain that are told of a
-                             ///< change at once; more hear by offers.
-  size_t MostBroadcast = 32; ///< Changes of servers that are sent to a domain
-                             ///< at once; of more, daemons copy what they lack
-                             ///< from each other, or a reader's link fills.
-  size_t PullFanout = 3; ///< Peers that hear that there is something to copy.
-  size_t WholeFleetFanout = 16; ///< A fleet up to this size is told as a whole.
+  /// As MaxBackoff, for the others: the first one's digest ends their wait.
+  Duration MaxBackoffOfOthers{8'000'000};
+  /// Between reads of the operators' section, whatever the service answers.
+  Duration OperatorsPeriod{20'000};
+  /// As above, of the servers' section: a release changes several servers a
+  /// second, and each change would cost a call of each reader.
+  Duration ServersPeriod{500'000};
+  /// Peers of the own domain that get a change at once; others learn of it by
+  /// digests.
+  size_t DomainFanout = 64;
+  /// Most changes of servers that go to a whole domain at once. Of more, the
+  /// reader only advertises, and daemons copy them from each other: else the
+  /// reader's link fills.
+  size_t MostBroadcast = 32;
+  size_t PullFanout = 3; ///< Peers that are advertised to.
+  /// A fleet up to this size gets every change at once.
+  size_t WholeFleetFanout = 16;
 };
 
 /// Send some peers the same message.
@@ -74,7 +75,7 @@
 struct StateChanged {
   PublishedSection Section = PublishedSection::Servers; ///< Where.
   std::vector<PublishedObject> Changed; ///< Objects in their new state.
-  VmId From; ///< The peer that told; empty: read here.
+  VmId From; ///< The peer that sent it; empty: read here.
 };
 /// The service became, or ceased to be, readable from here.
 struct SourceChanged {
@@ -87,14 +88,16 @@
 using StateExchangeAction =
     std::variant<SendStateMessage, StartRead, StateChanged, SourceChanged>;
 
-/// Who reads the publishing service, and how everybody hears: the first daemons
-/// of two failure domains read and tell their own domain and one or two daemons
-/// of each other one, which pass it on to theirs; all compare what they hold
-/// with one random peer a quarter second. Whoever hears no proof of freshness
-/// for some seconds reads by itself, so updates depend neither on one's own
-/// path to the service nor on any single daemon. The load of the service grows
-/// neither with the fleet nor with its failure domains. Deterministic. Not
-/// thread-safe.
+/// Who reads the publishing service, and how its state spreads.
+///
+/// The first daemons of two failure domains read. A few changes go to their own
+/// domain and to one or two daemons of each other one, which relay them; of
+/// many changes they advertise a digest. By anti-entropy all daemons compare
+/// digests with one random peer a quarter second, and whoever is behind copies
+/// what it lacks (StateCopies.cpp). A daemon without a proof of freshness for
+/// some seconds reads by itself, so updates depend neither on its own path to
+/// the service nor on any single daemon. The load of the service grows neither
+/// with the fleet nor with its failure domains. Deterministic. Not thread-safe.
 class StateExchange {
 public:
   /// An exchange for \p self that holds nothing. Precondition: \p random
@@ -126,7 +129,7 @@
   /// A peer's message came in.
   std::vector<StateExchangeAction> handleDigest(TimePoint now,
                                                 const EntryVm &from,
-                                                const PublishedDigest &offer);
+                                                const PublishedDigest &digest);
   /// As above.
   std::vector<StateExchangeAction>
   handleRequest(TimePoint now, const EntryVm &from,
@@ -213,7 +216,7 @@
   TimePoint NextRequest;  ///< Not before; see RequestTimeout.
   VmId AskedPeer;         ///< Who got the last request.
   TimePoint NextDigest;   ///< Of one random peer.
-  bool DomainTurn = true; ///< Whose turn the next offer is.
+  bool DomainTurn = true; ///< Whose turn the next digest is.
   std::vector<StateExchangeAction> Actions; ///< Of the call under way.
 };
 
