--- a/UnitTests/Published/StateExchangeLoadTest.cpp
+++ b/UnitTests/Published/StateExchangeLoadTest.cpp
@@ -9,7 +9,7 @@
 /// What a daemon may send for control while servers are released.
 constexpr double ReleaseBytesPerSecond = 20'000;
 /// Longer messages hold up callers' packets on a link of 10 Mbit/s.
-constexpr uint64_t LongestMessage = 64 * 1024;
+constexpr uint64_t LongestMessage = 65'536;
 
 /// A fleet, the servers before it, and how often a server changes.
 struct Fleet {
