Log decisions and peer events of the HTTP carrier as JSON lines

Cause: what `explain` knows ends with its process, and the log of a daemon had 8 to 10 lines a run, none with a request. Nothing told the hypotheses about unknown outcomes in a rolling restart apart.

Change: each decision goes to standard output as a line of the bounded event log that the packet carrier uses already. New events: peer-connection, message-not-sent, key-not-granted, key-settled-late, keys-received, shutdown (each step), and an owner's outcome that could not be reported. Lines about a key carry its digest and the state of its replicas. What `explain` and the traces show is unchanged. A claim no longer copies the view of the key's replicas.

--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -12,6 +12,7 @@
 #include "Balsamrack/Core/Errors.h"
 #include "Balsamrack/Peers/WebsocketTransport.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 
 namespace balsamrack {
 
@@ -178,6 +179,13 @@
   peers.OnFault = [this](const absl::Status &fault) {
     TelemetrySink->recordError(Component::Peers, fault);
   };
+  peers.OnConnectionEvent = [this](const VmId &peer, const char *event) {
+    TelemetrySink->logEvent(
+        LogLine(Component::Peers, Severity::Info, "peer-connection")
+            .text("peer", peer.str())
+            .text("what", event)
+            .number("packets_in_progress", Entry->inProgress()));
+  };
   auto transport = WebsocketTransport::create(peers, *this);
   if (!transport.ok())
     return transport.status();
@@ -220,14 +228,19 @@
   const bool released = waitFor(start + Config.ShutdownLimit / 2,
                                 [&] { return Control->isReleased(); });
 
+  logShutdownStep(released ? "ownership-released" : "ownership-kept");
+
   // Reject new packets and complete those in progress.
   CallerListener->stop();
   Owner->beginShutdown();
   const bool ended =
       waitFor(end, [&] { return Owner->idle() && Entry->inProgress() == 0; });
+  logShutdownStep(ended ? "requests-ended" : "requests-cut");
   sendExceptions(Time.now());
   handOverKeys();
+  logShutdownStep("keys-handed-over");
   Control->finishLeave();
+  logShutdownStep("left");
 
   // Stop the threads, each before those that it calls.
   Reader->stop();
@@ -241,6 +254,7 @@
     OperatorListener->stop();
   Servers->stop();
   Transport->stop();
+  logShutdownStep("peers-closed");
   Stopped = true;
   TelemetrySink->log(Component::Daemon, Severity::Info,
                      absl::StrCat("Shutdown is complete: ownership ",
@@ -249,6 +263,15 @@
   return ended;
 }
 
+void Daemon::logShutdownStep(const char *step) {
+  TelemetrySink->logEvent(
+      LogLine(Component::Daemon, Severity::Info, "shutdown")
+          .text("step", step)
+          .number("packets_in_progress", Entry->inProgress())
+          .flag("owner_idle", Owner->idle())
+          .number("keys", Keys->size()));
+}
+
 bool Daemon::waitFor(TimePoint end, const std::function<bool()> &done) {
   while (!done()) {
     if (Time.now() >= end)
@@ -388,25 +411,69 @@
   } else if (const auto *it = std::get_if<FlowExceptions>(&message)) {
     Flows->addFlows(Time.now(), *it);
   } else if (const auto *it = std::get_if<KeyClaim>(&message)) {
-    const auto view = Control->view();
-    send(from,
-         Keys->claim(Time.now(), *it,
-                     view ? view->KeyReplicas : KeyReplicaView(), Self.Id))
-        .IgnoreError();
+    claimKey(from, *it);
   } else if (const auto *it = std::get_if<KeyReply>(&message)) {
     Entry->onKeyReply(from.Id, *it);
   } else if (const auto *it = std::get_if<KeySettled>(&message)) {
-    Keys->settle(Time.now(), *it);
+    settleKey(from, *it);
   } else if (const auto *it = std::get_if<KeysHandedOver>(&message)) {
-    Keys->importKeys(Time.now(), *it);
+    importKeys(from, *it);
   } else {
     Control->onMessage(from, message);
   }
 }
 
+void Daemon::claimKey(const EntryVm &from, const KeyClaim &claim) {
+  const auto view = Control->view();
+  static const KeyReplicaView NoReplicas;
+  const KeyReplicaView &replicas = view ? view->KeyReplicas : NoReplicas;
+  const KeyReply reply = Keys->claim(Time.now(), claim, replicas, Self.Id);
+  if (reply.Verdict != KeyVerdict::Granted)
+    TelemetrySink->logEvent(
+        LogLine(Component::Owner, Severity::Info, "key-not-granted")
+            .text("key", formatKey(claim.Key))
+            .text("request", absl::StrFormat("%016x", claim.Request.Value))
+            .text("entry", from.Id.str())
+            .text("verdict", keyVerdictName(reply.Verdict))
+            .number("members", replicas.Members.size())
+            .number("departed", replicas.RecentlyDeparted.size())
+            .flag("handed_over", Keys->hasHandedOver()));
+  send(from, reply).IgnoreError();
+}
+
+void Daemon::settleKey(const EntryVm &from, const KeySettled &settled) {
+  const KeyStore::SettleResult result = Keys->settle(Time.now(), settled);
+  if (!Keys->hasHandedOver() && result != KeyStore::SettleResult::OtherAttempt)
+    return;
+  TelemetrySink->logEvent(
+      LogLine(Component::Owner, Severity::Info, "key-settled-late")
+          .text("key", formatKey(settled.Key))
+          .text("request", absl::StrFormat("%016x", settled.Request.Value))
+          .text("entry", from.Id.str())
+          .text("ending", outcomeKindName(settled.How))
+          .flag("other_attempt", result == KeyStore::SettleResult::OtherAttempt)
+          .flag("handed_over", Keys->hasHandedOver()));
+}
+
+void Daemon::importKeys(const EntryVm &from, const KeysHandedOver &keys) {
+  const KeyStore::ImportResult result = Keys->importKeys(Time.now(), keys);
+  TelemetrySink->logEvent(
+      LogLine(Component::Owner, Severity::Info, "keys-received")
+          .text("peer", from.Id.str())
+          .number("keys", keys.Keys.size())
+          .number("stored", result.Stored)
+          .number("conflicts", result.Conflicts)
+          .flag("last", keys.Complete)
+          .flag("covers", result.Covers));
+}
+
 void Daemon::onPeerLost(const VmId &peer) { Entry->onPeerLost(peer); }
 
 void Daemon::onSendFailed(const VmId &peer, PeerMessage message) {
+  TelemetrySink->logEvent(
+      LogLine(Component::Peers, Severity::Info, "message-not-sent")
+          .text("peer", peer.str())
+          .number("type", message.index()));
   if (const auto *it = std::get_if<Forward>(&message))
     Entry->onSendFailed(peer, it->Head.Request);
   else if (const auto *it = std::get_if<FlowQuestion>(&message))
--- a/Balsamrack/Daemon/Daemon.h
+++ b/Balsamrack/Daemon/Daemon.h
@@ -65,6 +65,10 @@
   void publishPeerMetrics();
   void sendExceptions(TimePoint now);
   void handOverKeys();
+  void claimKey(const EntryVm &from, const KeyClaim &claim);
+  void settleKey(const EntryVm &from, const KeySettled &settled);
+  void importKeys(const EntryVm &from, const KeysHandedOver &keys);
+  void logShutdownStep(const char *step);
   bool waitFor(TimePoint end, const std::function<bool()> &done);
 
   const Settings Config;
--- a/Balsamrack/Daemon/DaemonTelemetry.cpp
+++ b/Balsamrack/Daemon/DaemonTelemetry.cpp
@@ -1,5 +1,7 @@
 #include "Balsamrack/Daemon/DaemonTelemetry.h"
 
+#include <unistd.h>
+
 #include <map>
 #include <mutex>
 #include <utility>
@@ -7,9 +9,11 @@
 #include <nlohmann/json.hpp>
 
 #include "Balsamrack/Core/Errors.h"
+#include "Balsamrack/Flows/FlowMessages.h"
 #include "Balsamrack/Observability/Log.h"
 #include "Balsamrack/Observability/Metrics.h"
 #include "Balsamrack/Observability/SpanSink.h"
+#include "absl/strings/str_format.h"
 
 namespace balsamrack {
 
@@ -30,6 +34,51 @@
 constexpr MetricFamily Errors{"balsamrack_errors_total",
                               "Errors by part and step.", MetricKind::Counter};
 
+Component componentOf(DecisionKind kind) {
+  switch (kind) {
+  case DecisionKind::Placed:
+  case DecisionKind::Asked:
+  case DecisionKind::Ended:
+  case DecisionKind::Retried:
+  case DecisionKind::KeyJudged:
+    return Component::Entry;
+  case DecisionKind::Admitted:
+  case DecisionKind::Refused:
+  case DecisionKind::Ramped:
+  case DecisionKind::Ejected:
+  case DecisionKind::Drained:
+    return Component::Owner;
+  case DecisionKind::OwnershipMoved:
+  case DecisionKind::MemberChanged:
+    return Component::Membership;
+  case DecisionKind::TicketApplied:
+  case DecisionKind::TicketRejected:
+    break;
+  }
+  return Component::Reader;
+}
+
+LogLine toLogLine(const Decision &decision) {
+  LogLine line(componentOf(decision.Kind), Severity::Info,
+               decisionKindName(decision.Kind));
+  line.text("rule", decision.Rule).text("result", decision.Result);
+  if (decision.Request.Value != 0)
+    line.text("request", absl::StrFormat("%016x", decision.Request.Value));
+  if (decision.Flow.Value != 0)
+    line.text("flow", absl::StrFormat("%016x", decision.Flow.Value));
+  if (!decision.Server.empty())
+    line.text("server", decision.Server.str());
+  if (!decision.AtPeer.empty())
+    line.text("peer", decision.AtPeer);
+  line.text("step", decision.AtStep).number("ticket", decision.Ticket.Value);
+  if (!decision.Key.empty())
+    line.text("key", formatKey(decision.Key))
+        .text("replicas", decision.KeyReplicas);
+  for (const auto &[name, value] : decision.Inputs)
+    line.text(name.c_str(), value);
+  return line;
+}
+
 LogSettings logOf(const ObservabilitySettings &settings) {
   return {settings.LogLevel, settings.LogFormat, settings.LogFile};
 }
@@ -52,6 +101,7 @@
   Journal Decisions;
   std::unique_ptr<Metrics> Registry;
   std::unique_ptr<Log> Logger;
+  std::unique_ptr<EventLog> Events;
   std::unique_ptr<SpanSink> Spans;
   std::mutex Lock;                            ///< Guards Gauges.
   std::map<std::string, MetricFamily> Gauges; ///< Created on first use.
@@ -65,6 +115,7 @@
   if (!log.ok())
     return log.status();
   state->Logger = *std::move(log);
+  state->Events = EventLog::create(EventLogSettings(), STDOUT_FILENO, clock);
   auto spans = SpanSink::create(spanSettings(settings, vm, seed), clock);
   if (!spans.ok())
     return spans.status();
@@ -77,7 +128,12 @@
     : Impl(std::move(state)) {}
 DaemonTelemetry::~DaemonTelemetry() = default;
 
+void DaemonTelemetry::logEvent(const LogLine &line) {
+  Impl->Events->write(line);
+}
+
 void DaemonTelemetry::recordDecision(Decision what) {
+  logEvent(toLogLine(what));
   Impl->Decisions.add(std::move(what));
 }
 
--- a/Balsamrack/Daemon/DaemonTelemetry.h
+++ b/Balsamrack/Daemon/DaemonTelemetry.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "Balsamrack/Daemon/Telemetry.h"
+#include "Balsamrack/Observability/EventLog.h"
 #include "Balsamrack/Observability/Journal.h"
 #include "Balsamrack/Settings/Settings.h"
 #include "absl/status/statusor.h"
@@ -15,7 +16,9 @@
 namespace balsamrack {
 
 /// Telemetry of a daemon on the HTTP carrier: writes the journal, metrics,
-/// spans and log, and answers operators' queries about them.
+/// spans and log, and answers operators' queries about them. Each decision and
+/// event is also written to standard output as a line of JSON, so that it can
+/// still be looked up after the process has ended.
 class DaemonTelemetry final : public Telemetry {
 public:
   /// Opens the files named in \p settings. Precondition: \p clock outlives the
@@ -36,6 +39,8 @@
            const std::string &sentence) override;
   void recordError(Component component, const absl::Status &status) override;
 
+  /// Writes an event to standard output. Never blocks. Thread-safe.
+  void logEvent(const LogLine &line);
   /// Sets a gauge metric. Precondition: \p name is a string literal.
   /// Thread-safe.
   void setGauge(const char *name, double value);
--- a/Balsamrack/Daemon/OwnerDispatcher.cpp
+++ b/Balsamrack/Daemon/OwnerDispatcher.cpp
@@ -384,10 +384,21 @@
 }
 
 void OwnerDispatcher::report(const EntryVm &to, Outcome outcome) {
+  Decision undelivered;
+  undelivered.At = Time.now();
+  undelivered.Kind = DecisionKind::Refused;
+  undelivered.Rule = "outcome-not-reported";
+  undelivered.Result = outcomeKindName(outcome.Kind);
+  undelivered.Request = outcome.Request;
+  undelivered.Server = outcome.Server;
+  undelivered.AtStep = stepName(Step::SendToPeer);
+  undelivered.AtPeer = to.Id.str();
   const absl::Status status =
       Sender.send(to, OutcomeReport{std::move(outcome)});
-  if (!status.ok())
-    TelemetrySink.recordError(Component::Owner, status);
+  if (status.ok())
+    return;
+  TelemetrySink.recordDecision(std::move(undelivered));
+  TelemetrySink.recordError(Component::Owner, status);
 }
 
 void OwnerDispatcher::probeHealth(Shard &shard, TimePoint now) {
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -315,6 +315,10 @@
               {"first-of-flow", p.Head.FirstOfFlow ? "yes" : "no"},
               {"tries", absl::StrCat(p.TriedServers.size())},
               {"remaining-us", absl::StrCat((p.Deadline - Now).count())}};
+  if (p.claimsKey()) {
+    d.Key = p.Head.Key;
+    d.KeyReplicas = p.Keys.describe();
+  }
   Actions.emplace_back(ExplainEntry{std::move(d)});
 }
 
--- a/Balsamrack/Flows/FlowMessages.h
+++ b/Balsamrack/Flows/FlowMessages.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_FLOWS_FLOWMESSAGES_H
 #define BALSAMRACK_FLOWS_FLOWMESSAGES_H
 
+#include <string>
 #include <vector>
 
 #include "Balsamrack/Core/Ids.h"
@@ -64,6 +65,11 @@
           ///< leaving or full. Equivalent to no reply.
 };
 
+/// Name of a verdict in lower case with hyphens. Thread-safe.
+const char *keyVerdictName(KeyVerdict verdict);
+/// Formats a digest as 32 hex digits. Thread-safe.
+std::string formatKey(KeyDigest key);
+
 /// Answer to a KeyClaim.
 struct KeyReply {
   KeyDigest Key;                               ///< As asked.
--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Balsamrack/Flows/KeyStore.h"
+#include "absl/strings/str_cat.h"
 
 namespace balsamrack {
 
@@ -177,6 +178,20 @@
   return toSend;
 }
 
+std::string KeyClaims::describe() const {
+  std::string text;
+  for (const Replica &it : Replicas) {
+    const char *state = it.Status == State::Waiting ? "waiting"
+                        : it.Status == State::Dead  ? "dead"
+                        : it.Status == State::Answered || isUnable(it)
+                            ? keyVerdictName(it.Verdict)
+                            : "no-reply";
+    absl::StrAppend(&text, text.empty() ? "" : ", ", it.Vm.Id.str(), " ",
+                    state);
+  }
+  return text;
+}
+
 std::vector<EntryVm> KeyClaims::claimedReplicas() const {
   std::vector<EntryVm> vms;
   for (const Replica &it : Replicas)
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_FLOWS_KEYCLAIMS_H
 #define BALSAMRACK_FLOWS_KEYCLAIMS_H
 
+#include <string>
 #include <vector>
 
 #include "Balsamrack/Flows/EntrySettings.h"
@@ -56,6 +57,8 @@
   /// Discards the replies that such updates may change. Returns the replicas to
   /// send the same claim to again.
   std::vector<EntryVm> resetForResend();
+  /// State of each replica as one line, such as "vm-1 granted, vm-2 waiting".
+  std::string describe() const;
   /// All replicas that a claim was sent to.
   std::vector<EntryVm> claimedReplicas() const;
 
--- a/Balsamrack/Flows/KeyStore.cpp
+++ b/Balsamrack/Flows/KeyStore.cpp
@@ -179,7 +179,8 @@
   return reply;
 }
 
-void KeyStore::settle(TimePoint now, const KeySettled &settled) {
+KeyStore::SettleResult KeyStore::settle(TimePoint now,
+                                        const KeySettled &settled) {
   bool ran = settled.How == OutcomeKind::Answered ||
              settled.How == OutcomeKind::OutcomeUnknown;
   Shard &shard = shardOf(settled.Key);
@@ -189,17 +190,20 @@
   if (it == shard.Records.end()) {
     // Only another replica has stored the claim. Storing the ending here as
     // well does no harm.
-    if (ran && shard.Records.size() < Settings.MaxKeys / Settings.Shards)
-      shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
-    return;
+    if (!ran || shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
+      return SettleResult::NoClaim;
+    shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
+    return SettleResult::Recorded;
   }
   // Another attempt holds the key, so this attempt must not settle it.
   if (it->second.Request != settled.Request)
-    return;
-  if (ran)
-    shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
-  else
+    return SettleResult::OtherAttempt;
+  if (!ran) {
     shard.Records.erase(it);
+    return SettleResult::Freed;
+  }
+  shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
+  return SettleResult::Recorded;
 }
 
 std::vector<KeyStore::HandOverMessage>
@@ -247,7 +251,8 @@
   return all;
 }
 
-bool KeyStore::importKey(TimePoint now, const KeysHandedOver::Entry &entry) {
+bool KeyStore::importKey(TimePoint now, const KeysHandedOver::Entry &entry,
+                         ImportResult &result) {
   if (entry.Age >= Settings.KeyMemory)
     return true;
   Shard &shard = shardOf(entry.Key);
@@ -261,28 +266,33 @@
   }
   // Another attempt claimed the key here meanwhile. Neither attempt may free
   // the key for the other, so it stays until it expires.
-  if (known->second.Request != entry.Request)
+  if (known->second.Request != entry.Request) {
+    ++result.Conflicts;
     shard.put(entry.Key, {RequestId(), KeyVerdict::Unknown, now});
+  }
   return true;
 }
 
-void KeyStore::importKeys(TimePoint now, const KeysHandedOver &keys) {
-  uint32_t stored = 0;
+KeyStore::ImportResult KeyStore::importKeys(TimePoint now,
+                                            const KeysHandedOver &keys) {
+  ImportResult result;
   for (const KeysHandedOver::Entry &it : keys.Keys)
-    stored += importKey(now, it) ? 1 : 0;
+    result.Stored += importKey(now, it, result) ? 1 : 0;
   std::lock_guard<std::mutex> lock(HandOverLock);
   // Count per incarnation: messages left from an earlier hand-over must not
   // make up for messages that this one lost.
   const std::pair<VmId, Incarnation> from(keys.From, keys.Run);
-  Received[from] += stored;
+  Received[from] += result.Stored;
   if (!keys.Complete)
-    return;
+    return result;
   // If a message was lost with its connection, or a key did not fit into the
   // store, the counts differ and the hand-over is not treated as complete.
-  if (Received[from] == keys.Total && keys.SenderHasFullHistory)
+  result.Covers = Received[from] == keys.Total && keys.SenderHasFullHistory;
+  if (result.Covers)
     CompleteSenders[keys.From] = {
         now, {keys.KnownDaemons.begin(), keys.KnownDaemons.end()}};
   Received.erase(from);
+  return result;
 }
 
 void KeyStore::expire(TimePoint now) {
--- a/Balsamrack/Flows/KeyStore.h
+++ b/Balsamrack/Flows/KeyStore.h
@@ -54,8 +54,15 @@
   /// daemon's current view, and \p self its id.
   KeyReply claim(TimePoint now, const KeyClaim &claim,
                  const KeyReplicaView &view, const VmId &self);
+  /// What settle() did.
+  enum class SettleResult {
+    Freed,        ///< The attempt did not run; the key is free again.
+    Recorded,     ///< The ending was recorded.
+    NoClaim,      ///< The key is not stored here, and the attempt did not run.
+    OtherAttempt, ///< Another attempt holds the key.
+  };
   /// Records the ending of the attempt that holds a key.
-  void settle(TimePoint now, const KeySettled &settled);
+  SettleResult settle(TimePoint now, const KeySettled &settled);
   /// One message of a hand-over.
   struct HandOverMessage {
     EntryVm To;           ///< Receiver.
@@ -70,8 +77,17 @@
                                           const KeyReplicaView &view,
                                           const VmId &self, Incarnation run,
                                           size_t maxKeys);
+  /// What importKeys() did with one message.
+  struct ImportResult {
+    uint32_t Stored = 0;    ///< Keys that are stored now.
+    uint32_t Conflicts = 0; ///< Keys that another attempt holds here.
+    bool Covers = false;    ///< The hand-over is complete, and its sender had
+                            ///< the full history.
+  };
   /// Imports keys that a leaving replica handed over.
-  void importKeys(TimePoint now, const KeysHandedOver &keys);
+  ImportResult importKeys(TimePoint now, const KeysHandedOver &keys);
+  /// True if this daemon has handed its keys over. Thread-safe.
+  bool hasHandedOver() const { return HandedOver; }
   /// Removes keys older than the key memory. Call it every few seconds.
   void expire(TimePoint now);
   /// Number of keys stored.
@@ -90,7 +106,8 @@
                       const KeyReplicaView &view, const VmId &self) const;
   bool isUpForKeyMemory(TimePoint now) const;
   bool isCoveredByHandOver(TimePoint now, const KeyDigest &key) const;
-  bool importKey(TimePoint now, const KeysHandedOver::Entry &entry);
+  bool importKey(TimePoint now, const KeysHandedOver::Entry &entry,
+                 ImportResult &result);
 
   const KeyStoreSettings Settings;
   const TimePoint Started;
--- a/Balsamrack/Peers/PeerAcceptor.cpp
+++ b/Balsamrack/Peers/PeerAcceptor.cpp
@@ -249,6 +249,7 @@
                                     const PeerMessage &message) {
   inbound.Vm = std::get<Hello>(message).Vm;
   inbound.CurrentStage = InboundConnection::Stage::Ready;
+  Settings.reportConnection(inbound.Vm.Id, "inbound-open");
   // A restarted daemon sends requests at once; its answers must not fail
   // because connects to its previous run failed.
   OnHello(inbound.Vm.Id);
@@ -289,6 +290,7 @@
   if (current != NewestConnections.end() && !less(current->second, h) &&
       !less(h, current->second))
     NewestConnections.erase(current);
+  Settings.reportConnection(inbound.Vm.Id, "inbound-closed");
   Listener.onPeerLost(inbound.Vm.Id);
 }
 
--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -136,6 +136,7 @@
   if (channel->CurrentState == OutboundChannel::State::Open &&
       channel->RemoteAddress != channel->Link.address()) {
     dropConnection(channel, close_code::going_away, "moved");
+    Settings.reportConnection(channel->Link.peer(), "outbound-moved");
     Listener.onPeerLost(channel->Link.peer());
   }
   if (channel->Link.empty())
@@ -241,6 +242,7 @@
                                 "address belongs to " + hello->Vm.Id.str());
   channel->CurrentState = OutboundChannel::State::Open;
   channel->Link.recordConnectSuccess();
+  Settings.reportConnection(channel->Link.peer(), "outbound-open");
   flush(channel);
 }
 
@@ -272,6 +274,7 @@
   channel->CurrentState = OutboundChannel::State::Idle;
   channel->Connection.reset();
   ++Stats.ConnectionsLost;
+  Settings.reportConnection(channel->Link.peer(), "outbound-closed");
   Listener.onPeerLost(channel->Link.peer());
   processQueue(channel); // Frames still queued were not sent.
 }
@@ -280,6 +283,7 @@
                                            const std::string &why) {
   dropConnection(channel, close_code::policy_violation, "connect failed");
   ++Stats.ConnectsFailed;
+  Settings.reportConnection(channel->Link.peer(), "connect-failed");
   report(channel, absl::StatusCode::kUnavailable, why);
   for (const QueuedFrame &frame :
        channel->Link.recordConnectFailure(steady_clock::now(), Random))
--- a/Balsamrack/Peers/WebsocketTransport.h
+++ b/Balsamrack/Peers/WebsocketTransport.h
@@ -40,6 +40,16 @@
   std::function<void(const absl::Status &)>
       OnFault; ///< Called for rejected peers and frames, with step and peer;
                ///< may be empty. Called on the transport's thread.
+  std::function<void(const VmId &peer, const char *event)>
+      OnConnectionEvent; ///< Called when a connection to or from \p peer is
+                         ///< opened or lost, with the name of the event; may
+                         ///< be empty. Called on the transport's thread.
+
+  /// Calls OnConnectionEvent if it is set.
+  void reportConnection(const VmId &peer, const char *event) const {
+    if (OnConnectionEvent)
+      OnConnectionEvent(peer, event);
+  }
 };
 
 /// Carries peer messages over websocketpp. Each side sends on the connection
--- a/Balsamrack/World/Decision.h
+++ b/Balsamrack/World/Decision.h
@@ -41,12 +41,14 @@
                     ///< "deadline-too-short".
   std::string
       Result; ///< Result as a short phrase, such as "dispatched to booking-03".
-  RequestId Request;   ///< The request concerned; zero for none.
-  FlowId Flow;         ///< The flow concerned; zero for none.
-  ServerId Server;     ///< The backend server concerned; may be empty.
-  TicketNumber Ticket; ///< Highest ticket in force at that time.
-  std::string AtStep;  ///< Processing step that made the decision.
-  std::string AtPeer;  ///< Peer whose message led to it; may be empty.
+  RequestId Request;       ///< The request concerned; zero for none.
+  FlowId Flow;             ///< The flow concerned; zero for none.
+  KeyDigest Key;           ///< The idempotency key concerned; empty for none.
+  std::string KeyReplicas; ///< State of the key's replicas, for logs.
+  ServerId Server;         ///< The backend server concerned; may be empty.
+  TicketNumber Ticket;     ///< Highest ticket in force at that time.
+  std::string AtStep;      ///< Processing step that made the decision.
+  std::string AtPeer;      ///< Peer whose message led to it; may be empty.
   std::vector<std::pair<std::string, std::string>>
       Inputs; ///< Inputs of the rule, by name.
 };
