Receive and answer what peers have sent before a daemon stops

What callers saw: a planned restart ended requests "unknown owner-lost" although nothing had run.

Cause: a stopping daemon closed its peers' connections itself. Requests that entries had forwarded before they learned of the leave were on their way or in the socket's buffer; websocketpp drops frames that arrive after it has sent the close frame. The entry heard only that the connection closed.

Change: the acceptor asks each dialer to stop (text frame "go-away"); the dialer returns it as its last frame and hands back what it has queued as unsent. The stopping daemon answers what it received with a true refusal, closes its own connections, waits until the peers have read them, and closes the peers' last.

Test: WebsocketTransportTest.StopLosesNoMessageOnItsWay fails on the code before (some of 500 messages neither received nor returned).

--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -27,6 +27,11 @@
 constexpr Duration ExceptionPeriod{500'000};
 constexpr size_t ExceptionBytes = 512;
 constexpr size_t KeysPerMessage = 500;
+/// The fraction (1/N) of the shutdown limit for each step of closing the peers'
+/// connections.
+constexpr int ShutdownDrainDivisor = 4;
+/// Time for peers to stop sending if the shutdown limit is exhausted.
+constexpr Duration MinReceiveTime{500'000};
 
 /// Returns the incarnation of this run. It increases with each start on the
 /// same VM as long as the wall clock isn't set back.
@@ -176,6 +181,7 @@
   peers.Run = Run;
   peers.FleetKey = Config.Peers.FleetKey;
   peers.Allowed = Config.Peers.Allowed;
+  peers.DrainTimeout = Config.ShutdownLimit / ShutdownDrainDivisor;
   peers.OnFault = [this](const absl::Status &fault) {
     TelemetrySink->recordError(Component::Peers, fault);
   };
@@ -242,6 +248,12 @@
   Control->finishLeave();
   logShutdownStep("left");
 
+  // Peers that have not learned of the leave yet still forward requests.
+  // Receive and reject them all, so that no caller gets an unknown outcome.
+  const bool received =
+      Transport->stopReceiving(std::max(end - Time.now(), MinReceiveTime));
+  logShutdownStep(received ? "peers-drained" : "peers-not-drained");
+
   // Stop the threads, each before those that it calls.
   Reader->stop();
   {
--- a/Balsamrack/Peers/PeerAcceptor.cpp
+++ b/Balsamrack/Peers/PeerAcceptor.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Peers/PeerAcceptor.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -46,6 +47,8 @@
   std::string Ip;
   std::string ExpectedProof;  ///< Proof expected from the peer.
   EntryVm Vm;                 ///< The peer; valid once Ready.
+  bool AcceptsGoAway = false; ///< As in Hello; valid once Ready.
+  bool Drained = false;       ///< The peer has sent its last frame.
   bool ClosedByError = false; ///< Closed by this side, and reported.
 };
 
@@ -61,6 +64,8 @@
 
   absl::Status start();
   Address at() const override { return BoundAddress; }
+  void beginDrain() override;
+  bool isDrained() const override;
   void close() override;
   bool isClosed() const override { return Connections.empty(); }
 
@@ -92,6 +97,7 @@
   const HelloCallback OnHello;
   Server Endpoint;
   Address BoundAddress;
+  bool Draining = false; ///< beginDrain() was called.
   ConnectionMap Connections;
   std::map<VmId, CurlHandle>
       NewestConnections; ///< The newest connection of each peer.
@@ -217,6 +223,11 @@
         absl::PermissionDeniedError("wrong proof of the fleet's key"),
         close_code::policy_violation);
   }
+  if (Draining && m->get_opcode() == text && frame == GoAwayFrame) {
+    Stats.countReceived(false, frame.size());
+    inbound.Drained = true;
+    return;
+  }
   auto message = decodePeerMessage(frame);
   Stats.countReceived(message.ok() && isDataMessage(*message), frame.size());
   bool ready = inbound.CurrentStage == InboundConnection::Stage::Ready;
@@ -248,6 +259,7 @@
                                     InboundConnection &inbound,
                                     const PeerMessage &message) {
   inbound.Vm = std::get<Hello>(message).Vm;
+  inbound.AcceptsGoAway = std::get<Hello>(message).AcceptsGoAway;
   inbound.CurrentStage = InboundConnection::Stage::Ready;
   Settings.reportConnection(inbound.Vm.Id, "inbound-open");
   // A restarted daemon sends requests at once; its answers must not fail
@@ -257,12 +269,17 @@
   ErrorCode ec;
   Endpoint.send(h, hello, binary, ec);
   Stats.countSent(false, hello.size());
+  if (Draining && inbound.AcceptsGoAway)
+    Endpoint.send(h, GoAwayFrame, text, ec);
   auto [it, isNew] = NewestConnections.emplace(inbound.Vm.Id, h);
-  if (!isNew)
-    // The earlier connection is broken, even if its close event has not arrived
-    // yet.
-    Endpoint.close(std::exchange(it->second, h), close_code::going_away,
-                   "replaced", ec);
+  if (isNew)
+    return;
+  // The earlier connection is broken, even if its close event has not arrived
+  // yet. Report the loss now: requests that are sent to the peer from here on
+  // must not end when that event arrives.
+  Endpoint.close(std::exchange(it->second, h), close_code::going_away,
+                 "replaced", ec);
+  Listener.onPeerLost(VmId(inbound.Vm.Id));
 }
 
 void WebsocketAcceptor::onClose(const CurlHandle &h) {
@@ -287,13 +304,37 @@
   ++Stats.ConnectionsLost;
   auto current = NewestConnections.find(inbound.Vm.Id);
   std::owner_less<CurlHandle> less;
-  if (current != NewestConnections.end() && !less(current->second, h) &&
-      !less(h, current->second))
-    NewestConnections.erase(current);
   Settings.reportConnection(inbound.Vm.Id, "inbound-closed");
+  bool isNewest = current != NewestConnections.end() &&
+                  !less(current->second, h) && !less(h, current->second);
+  if (!isNewest)
+    return;
+  NewestConnections.erase(current);
   Listener.onPeerLost(inbound.Vm.Id);
 }
 
+void WebsocketAcceptor::beginDrain() {
+  if (std::exchange(Draining, true))
+    return;
+  ErrorCode ec;
+  if (Endpoint.is_listening())
+    Endpoint.stop_listening(ec);
+  for (const auto &[h, inbound] : Connections)
+    if (inbound.CurrentStage != InboundConnection::Stage::Ready)
+      // Its dialer has sent no message yet and returns them as unsent.
+      Endpoint.close(h, close_code::going_away, "stopping", ec);
+    else if (inbound.AcceptsGoAway)
+      Endpoint.send(h, GoAwayFrame, text, ec);
+}
+
+bool WebsocketAcceptor::isDrained() const {
+  return std::none_of(
+      Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.CurrentStage == InboundConnection::Stage::Ready &&
+               it.second.AcceptsGoAway && !it.second.Drained;
+      });
+}
+
 void WebsocketAcceptor::close() {
   ErrorCode ec;
   if (Endpoint.is_listening())
--- a/Balsamrack/Peers/PeerAcceptor.h
+++ b/Balsamrack/Peers/PeerAcceptor.h
@@ -29,6 +29,12 @@
   virtual ~PeerAcceptor() = default;
   /// The listen address with the actual port. Thread-safe.
   virtual Address at() const = 0;
+  /// Stops accepting, and asks all peers to send nothing more. Call on the
+  /// context's thread.
+  virtual void beginDrain() = 0;
+  /// True if all peers that reply to a GoAwayFrame have done so. Call on the
+  /// context's thread.
+  virtual bool isDrained() const = 0;
   /// Stops accepting and closes all connections. Call on the context's thread.
   virtual void close() = 0;
   /// True if no connection is left. Call on the context's thread.
--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Peers/PeerDialer.h"
 
+#include <cstring>
 #include <map>
 #include <utility>
 #include <vector>
@@ -27,20 +28,21 @@
 /// from which they can still be returned as unsent.
 constexpr size_t MaxBufferedBytes = size_t(1) << 20;
 constexpr long FullBufferRetryMillis = 5;
-
 /// A link and its connection. Everything but the link itself is used by the
 /// context's thread only.
 struct OutboundChannel {
   OutboundChannel(const PeerTransportSettings &settings, const VmId &peer)
       : Link(settings, peer) {}
 
-  enum class State { Idle, Connecting, Open };
+  enum class State { Idle, Connecting, Open, PeerStopping };
+  enum class FlushState { Done, Pending, PingSent };
 
   PeerLink Link;
   State CurrentState = State::Idle;
   Client::connection_ptr Connection; ///< Null while idle.
   Address RemoteAddress;             ///< Address of Connection.
   std::string Nonce;                 ///< Nonce of this connection.
+  FlushState Flush = FlushState::Done;
 };
 
 using ChannelPtr = std::shared_ptr<OutboundChannel>;
@@ -68,6 +70,8 @@
   void resetBackoff(const VmId &peer) override {
     findOrCreateChannel(peer)->Link.recordConnectSuccess();
   }
+  void beginFlush() override;
+  bool isFlushed() override;
   void rejectNewFrames() override;
   bool isDrained() const override;
   void close() override;
@@ -81,7 +85,10 @@
   void startConnectTimer(const ChannelPtr &channel);
   void setHandlers(const ChannelPtr &channel, const Client::connection_ptr &c);
   void onOpen(const ChannelPtr &channel);
-  void onMessage(const ChannelPtr &channel, const std::string &frame);
+  void onMessage(const ChannelPtr &channel, const Client::message_ptr &m);
+  void onPong(const ChannelPtr &channel);
+  void handleGoAway(const ChannelPtr &channel);
+  void returnQueuedFrames(const ChannelPtr &channel);
   void onClosed(const ChannelPtr &channel);
   void handleConnectFailure(const ChannelPtr &channel, const std::string &why);
   void reportUnsent(const ChannelPtr &channel, const QueuedFrame &frame);
@@ -133,7 +140,8 @@
 
 void WebsocketDialer::processQueue(const ChannelPtr &channel) {
   channel->Link.clearWakePending();
-  if (channel->CurrentState == OutboundChannel::State::Open &&
+  if ((channel->CurrentState == OutboundChannel::State::Open ||
+       channel->CurrentState == OutboundChannel::State::PeerStopping) &&
       channel->RemoteAddress != channel->Link.address()) {
     dropConnection(channel, close_code::going_away, "moved");
     Settings.reportConnection(channel->Link.peer(), "outbound-moved");
@@ -145,6 +153,8 @@
     connect(channel);
   else if (channel->CurrentState == OutboundChannel::State::Open)
     flush(channel);
+  else if (channel->CurrentState == OutboundChannel::State::PeerStopping)
+    returnQueuedFrames(channel);
 }
 
 void WebsocketDialer::connect(const ChannelPtr &channel) {
@@ -183,7 +193,14 @@
           const CurlHandle &, const Client::message_ptr &m) {
         auto c = id.lock();
         if (c && c == channel->Connection)
-          onMessage(channel, m->get_payload());
+          onMessage(channel, m);
+      });
+  c->set_pong_handler(
+      [this, channel, id = std::weak_ptr<Client::connection_type>(c)](
+          const CurlHandle &, const std::string &) {
+        auto c = id.lock();
+        if (c && c == channel->Connection)
+          onPong(channel);
       });
 }
 
@@ -216,7 +233,8 @@
   }
   std::string proof = FleetKeyProof::make(Settings.FleetKey, ProofSide::Dialer,
                                           channel->Nonce, acceptorNonce);
-  std::string hello = encodePeerMessage(Hello{Settings.Self, Settings.Run});
+  std::string hello =
+      encodePeerMessage(Hello{Settings.Self, Settings.Run, true});
   c->send(proof, text);
   c->send(hello, binary);
   Stats.countSent(false, proof.size());
@@ -224,8 +242,12 @@
 }
 
 void WebsocketDialer::onMessage(const ChannelPtr &channel,
-                                const std::string &frame) {
+                                const Client::message_ptr &m) {
+  const std::string &frame = m->get_payload();
   Stats.countReceived(false, frame.size());
+  if (m->get_opcode() == text && frame == GoAwayFrame &&
+      channel->CurrentState == OutboundChannel::State::Open)
+    return handleGoAway(channel);
   auto message = decodePeerMessage(frame);
   const auto *hello = message.ok() ? std::get_if<Hello>(&*message) : nullptr;
   if (!hello || channel->CurrentState != OutboundChannel::State::Connecting) {
@@ -246,6 +268,21 @@
   flush(channel);
 }
 
+void WebsocketDialer::handleGoAway(const ChannelPtr &channel) {
+  // The connection stays open until the peer has answered what it received.
+  Settings.reportConnection(channel->Link.peer(), "peer-stopping");
+  channel->CurrentState = OutboundChannel::State::PeerStopping;
+  channel->Connection->send(std::string(GoAwayFrame), text);
+  Stats.countSent(false, std::strlen(GoAwayFrame));
+  returnQueuedFrames(channel);
+}
+
+void WebsocketDialer::returnQueuedFrames(const ChannelPtr &channel) {
+  QueuedFrame frame;
+  while (channel->Link.pop(frame))
+    reportUnsent(channel, frame);
+}
+
 void WebsocketDialer::flush(const ChannelPtr &channel) {
   QueuedFrame frame;
   auto c = channel->Connection;
@@ -314,6 +351,37 @@
         makeError(code, Step::SendToPeer, channel->Link.peer().str(), why));
 }
 
+void WebsocketDialer::beginFlush() {
+  for (const ChannelPtr &channel : allChannels())
+    channel->Flush = OutboundChannel::FlushState::Pending;
+}
+
+bool WebsocketDialer::isFlushed() {
+  // A peer answers a ping once it has handled all frames before it.
+  bool flushed = true;
+  for (const ChannelPtr &channel : allChannels()) {
+    bool open = channel->CurrentState == OutboundChannel::State::Open;
+    bool empty = channel->Link.empty();
+    if (channel->Flush == OutboundChannel::FlushState::Pending && open &&
+        empty) {
+      channel->Flush = OutboundChannel::FlushState::PingSent;
+      ErrorCode ec;
+      channel->Connection->ping("", ec);
+    }
+    bool pending = channel->CurrentState == OutboundChannel::State::Connecting;
+    if ((!open && !pending && empty) ||
+        (channel->Flush == OutboundChannel::FlushState::PingSent && !open))
+      channel->Flush = OutboundChannel::FlushState::Done;
+    flushed = flushed && channel->Flush == OutboundChannel::FlushState::Done;
+  }
+  return flushed;
+}
+
+void WebsocketDialer::onPong(const ChannelPtr &channel) {
+  if (channel->Flush == OutboundChannel::FlushState::PingSent)
+    channel->Flush = OutboundChannel::FlushState::Done;
+}
+
 void WebsocketDialer::rejectNewFrames() {
   std::lock_guard<std::mutex> hold(Lock);
   RejectsNewFrames = true;
--- a/Balsamrack/Peers/PeerDialer.h
+++ b/Balsamrack/Peers/PeerDialer.h
@@ -26,6 +26,11 @@
   /// daemon: the next frame for it may connect at once, whatever failed before.
   /// Thread-safe.
   virtual void resetBackoff(const VmId &peer) = 0;
+  /// Starts to wait until the peers have handled all frames queued so far. Call
+  /// on the context's thread.
+  virtual void beginFlush() = 0;
+  /// Continues a flush; true if it is complete. Call on the context's thread.
+  virtual bool isFlushed() = 0;
   /// Rejects all further frames. Thread-safe.
   virtual void rejectNewFrames() = 0;
   /// True if no frame is waiting for a connection. Call on the context's
--- a/Balsamrack/Peers/PeerFields.h
+++ b/Balsamrack/Peers/PeerFields.h
@@ -174,6 +174,7 @@
 template <class Ar> void fields(Ar &ar, typename Ar::template Ref<Hello> m) {
   ar("v", m.Vm);
   ar("r", m.Run);
+  ar("g", m.AcceptsGoAway);
 }
 
 template <class Ar> void fields(Ar &ar, typename Ar::template Ref<Ping> m) {
--- a/Balsamrack/Peers/PeerHandshake.h
+++ b/Balsamrack/Peers/PeerHandshake.h
@@ -16,6 +16,12 @@
 constexpr const char *NonceHeader = "Balsamrack-Nonce";
 constexpr const char *ProofHeader = "Balsamrack-Proof";
 constexpr const char *PeerPath = "/peer";
+/// Text frame by which a stopping acceptor asks a dialer to send nothing more
+/// on the connection. The dialer returns it as its last frame, so the acceptor
+/// knows that it has received every frame. Had the acceptor just closed the
+/// connection, frames on their way would be lost, and their sender could not
+/// tell whether they were handled.
+constexpr const char *GoAwayFrame = "go-away";
 
 /// Sets the socket options of a peer connection; see
 /// PeerTransportSettings::StallTimeout. Thread-safe.
--- a/Balsamrack/Peers/PeerMessage.h
+++ b/Balsamrack/Peers/PeerMessage.h
@@ -13,8 +13,9 @@
 
 /// First message on a connection, in both directions.
 struct Hello {
-  EntryVm Vm;      ///< VM of the sender.
-  Incarnation Run; ///< Incarnation of the sender.
+  EntryVm Vm;                 ///< VM of the sender.
+  Incarnation Run;            ///< Incarnation of the sender.
+  bool AcceptsGoAway = false; ///< The sender replies to a GoAwayFrame.
 };
 
 /// Passes a request from an entry VM to the owner of a backend server. Sent at
--- a/Balsamrack/Peers/PeerTransport.h
+++ b/Balsamrack/Peers/PeerTransport.h
@@ -52,8 +52,17 @@
   virtual absl::Status send(const EntryVm &to, const PeerMessage &message) = 0;
   /// Counters since the start. Thread-safe.
   virtual TransportCounters counters() const = 0;
-  /// Sends the queued messages, closes all connections and joins the threads.
-  /// Idempotent. Thread-safe.
+  /// Waits until each connected peer has handled all messages queued for it so
+  /// far, for at most \p limit. Returns false on timeout. A lost peer counts as
+  /// done. Not thread-safe; do not call it on the transport's threads.
+  virtual bool flush(Duration limit) = 0;
+  /// Asks all peers to send nothing more, and waits until every message that
+  /// they have sent was passed to the listener, for at most \p limit. Returns
+  /// false on timeout. Messages can still be sent, but no peer can connect.
+  /// Not thread-safe; do not call it on the transport's threads.
+  virtual bool stopReceiving(Duration limit) = 0;
+  /// Stops receiving, sends the queued messages, closes all connections and
+  /// joins the threads. Idempotent. Thread-safe.
   virtual void stop() = 0;
 };
 
--- a/Balsamrack/Peers/WebsocketTransport.cpp
+++ b/Balsamrack/Peers/WebsocketTransport.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Peers/WebsocketTransport.h"
 
+#include <future>
 #include <mutex>
 #include <system_error>
 #include <thread>
@@ -20,7 +21,6 @@
 
 using std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds DrainTimeout(1000); ///< For queued frames.
 constexpr std::chrono::milliseconds
     CloseTimeout(500); ///< For the closing handshakes.
 constexpr std::chrono::milliseconds
@@ -35,14 +35,19 @@
   absl::Status start(PeerListener &listener);
   absl::Status send(const EntryVm &to, const PeerMessage &message) override;
   TransportCounters counters() const override { return Stats.snapshot(); }
+  bool flush(Duration limit) override;
+  bool stopReceiving(Duration limit) override;
   void stop() override;
   Address at() const override { return Acceptor->at(); }
 
 private:
   void run();
   void drain(steady_clock::time_point deadline);
-  void close(steady_clock::time_point deadline);
+  void closeAcceptor(steady_clock::time_point deadline);
+  void finish(steady_clock::time_point deadline);
   template <class Then> void scheduleCheck(Then check);
+  template <class Condition>
+  bool awaitOnContext(Condition done, Duration limit);
 
   const PeerTransportSettings Settings;
   TransportStats Stats;
@@ -106,18 +111,52 @@
       [timer, check](const boost::system::error_code &) { check(); });
 }
 
+template <class Condition>
+bool AsioTransport::awaitOnContext(Condition done, Duration limit) {
+  const auto deadline = steady_clock::now() + limit;
+  while (!Context.stopped()) {
+    std::promise<bool> result;
+    boost::asio::post(Context, [&] { result.set_value(done()); });
+    if (result.get_future().get())
+      return true;
+    if (steady_clock::now() >= deadline)
+      return false;
+    std::this_thread::sleep_for(StopPollInterval);
+  }
+  return true;
+}
+
+bool AsioTransport::flush(Duration limit) {
+  boost::asio::post(Context, [this] { Dialer->beginFlush(); });
+  return awaitOnContext([this] { return Dialer->isFlushed(); }, limit);
+}
+
+bool AsioTransport::stopReceiving(Duration limit) {
+  boost::asio::post(Context, [this] { Acceptor->beginDrain(); });
+  return awaitOnContext([this] { return Acceptor->isDrained(); }, limit);
+}
+
 void AsioTransport::drain(steady_clock::time_point deadline) {
   if (!Dialer->isDrained() && steady_clock::now() < deadline)
     return scheduleCheck([this, deadline] { drain(deadline); });
   Dialer->close();
+  closeAcceptor(steady_clock::now() + Settings.DrainTimeout);
+}
+
+void AsioTransport::closeAcceptor(steady_clock::time_point deadline) {
+  // A peer takes the end of its connection to this daemon for a loss. By then
+  // it must have received all answers, which the closing handshakes of this
+  // daemon's connections follow.
+  if (!Dialer->isClosed() && steady_clock::now() < deadline)
+    return scheduleCheck([this, deadline] { closeAcceptor(deadline); });
   Acceptor->close();
-  close(steady_clock::now() + CloseTimeout);
+  finish(steady_clock::now() + CloseTimeout);
 }
 
-void AsioTransport::close(steady_clock::time_point deadline) {
+void AsioTransport::finish(steady_clock::time_point deadline) {
   bool closed = Dialer->isClosed() && Acceptor->isClosed();
   if (!closed && steady_clock::now() < deadline)
-    return scheduleCheck([this, deadline] { close(deadline); });
+    return scheduleCheck([this, deadline] { finish(deadline); });
   Context.stop();
 }
 
@@ -125,9 +164,11 @@
   std::lock_guard<std::mutex> lock(StopLock);
   if (!IoThread.joinable())
     return;
+  // Receive first, so that the listener can answer what peers have sent.
+  stopReceiving(Settings.DrainTimeout);
   Dialer->rejectNewFrames();
-  boost::asio::post(Context,
-                    [this] { drain(steady_clock::now() + DrainTimeout); });
+  boost::asio::post(
+      Context, [this] { drain(steady_clock::now() + Settings.DrainTimeout); });
   IoThread.join();
 }
 
--- a/Balsamrack/Peers/WebsocketTransport.h
+++ b/Balsamrack/Peers/WebsocketTransport.h
@@ -33,6 +33,9 @@
                   ///< reading. TCP itself retries for a quarter of an hour, and
                   ///< after a partition between failure domains heals it may
                   ///< wait minutes before its next retry.
+  Duration DrainTimeout{1'000'000}; ///< Limit of each step of stop(): receive
+                                    ///< what peers have sent, send what is
+                                    ///< queued, and have peers receive it.
   Duration MinBackoff{50'000}; ///< Delay after a first failed connect; doubles.
   Duration MaxBackoff{1'000'000};           ///< Maximum delay.
   size_t MaxQueuedMessages = 4096;          ///< Queue limit per peer.
--- a/UnitTests/Peers/TransportPeer.cpp
+++ b/UnitTests/Peers/TransportPeer.cpp
@@ -18,6 +18,7 @@
   // With a sanitizer, a peer may take seconds to decode a large frame and reads
   // nothing meanwhile.
   s.StallTimeout = Duration(60'000'000);
+  s.DrainTimeout = Duration(60'000'000);
   return s;
 }
 
--- a/UnitTests/Peers/WebsocketTransportTest.cpp
+++ b/UnitTests/Peers/WebsocketTransportTest.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Peers/WebsocketTransport.h"
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <thread>
@@ -224,6 +225,60 @@
   EXPECT_TRUE(waitUntil([&] { return b.received().size() == MessageTotal; }));
 }
 
+// Guards against requests that a stopping daemon neither handles nor returns,
+// so that their callers get an unknown outcome.
+TEST(WebsocketTransportTest, StopLosesNoMessageOnItsWay) {
+  constexpr size_t MessageTotal = 500;
+  TransportPeer a("vm-a");
+  TransportPeer b("vm-b");
+  std::unique_lock<std::mutex> blocked(b.ReceiveGate);
+  for (size_t i = 0; i < MessageTotal; ++i)
+    ASSERT_TRUE(a.Transport->send(b.vm(), withBody(1000)).ok());
+  ASSERT_TRUE(waitUntil([&] { return b.received().size() == 1; }));
+  std::thread stopper([&] { b.Transport->stop(); });
+  blocked.unlock();
+  stopper.join();
+  EXPECT_TRUE(waitUntil([&] {
+    std::vector<std::string> events = a.events();
+    auto returned = static_cast<size_t>(
+        std::count(events.begin(), events.end(), "failed vm-b Forward"));
+    return b.received().size() + returned == MessageTotal;
+  }));
+}
+
+// Guards against unknown outcomes of requests that a stopping daemon answers
+// after it has refused further ones.
+TEST(WebsocketTransportTest, AStoppingPeerAnswersBeforeItIsLost) {
+  TransportPeer a("vm-a");
+  TransportPeer b("vm-b");
+  EntryVm stopping = b.vm();
+  ASSERT_TRUE(a.Transport->send(stopping, Small).ok());
+  ASSERT_TRUE(waitUntil([&] { return b.received().size() == 1; }));
+  EXPECT_TRUE(b.Transport->stopReceiving(Duration(60'000'000)));
+  ASSERT_TRUE(a.Transport->send(stopping, withBody(9)).ok());
+  EXPECT_TRUE(waitUntil([&] { return a.hasEvent("failed vm-b Forward"); }));
+  ASSERT_TRUE(b.Transport->send(a.vm(), Small).ok());
+  EXPECT_TRUE(waitUntil([&] { return a.received().size() == 1; }));
+  EXPECT_FALSE(a.hasEvent("lost vm-b"));
+  b.Transport->stop();
+  EXPECT_TRUE(waitUntil([&] { return a.hasEvent("lost vm-b"); }));
+}
+
+// Guards against a daemon that announces its leave before its peers have
+// handled the keys that it handed over.
+TEST(WebsocketTransportTest, FlushWaitsUntilPeersHaveHandledMessages) {
+  TransportPeer a("vm-a");
+  TransportPeer b("vm-b");
+  std::unique_lock<std::mutex> blocked(b.ReceiveGate);
+  ASSERT_TRUE(a.Transport->send(b.vm(), Small).ok());
+  ASSERT_TRUE(a.Transport->send(b.vm(), Small).ok());
+  ASSERT_TRUE(waitUntil([&] { return b.received().size() == 1; }));
+  EXPECT_FALSE(a.Transport->flush(Duration(20'000)));
+  blocked.unlock();
+  EXPECT_TRUE(a.Transport->flush(Duration(60'000'000)));
+  EXPECT_EQ(b.received().size(), 2U);
+}
+
 TEST(WebsocketTransportTest, ReportsListenErrors) {
   TransportPeer a("vm-a");
   PeerTransportSettings settings = TransportPeer::settingsFor("vm-b");
