Ask key replicas again once a leaving one has handed its keys over

What callers saw: during a planned restart a booking with a new key ended "unknown key-unknown", although no daemon had forwarded it.

Cause: two replicas, one leaving (Unable: it has handed its keys over), one that had started lately (Fresh: it lacks the history). When the leaver departs, the entry adds the next replica, which is Fresh as well, and judged by the Fresh reply that was older than the hand-over: no replica could vouch. Besides, the leave was announced before the receivers had handled the keys, and claims were repeated for 250 ms whatever time the caller had left.

Change: when a replica departs, those that replied Fresh are asked again; a daemon announces its leave once its peers have handled the keys (flush()); claims are repeated until the caller's deadline while a replica is leaving, which its membership record or its reply says. A request that waits in vain ends not-run, since it was never forwarded.

A repeated claim is safe: a replica stores the attempt once and grants it to that attempt only.

--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -244,7 +244,10 @@
   logShutdownStep(ended ? "requests-ended" : "requests-cut");
   sendExceptions(Time.now());
   handOverKeys();
-  logShutdownStep("keys-handed-over");
+  // Announce the leave only when the next replicas have the keys: from then on
+  // entries ask them.
+  const bool delivered = Transport->flush(end - Time.now());
+  logShutdownStep(delivered ? "keys-handed-over" : "keys-not-delivered");
   Control->finishLeave();
   logShutdownStep("left");
 
--- a/Balsamrack/Flows/EntryPlacement.cpp
+++ b/Balsamrack/Flows/EntryPlacement.cpp
@@ -49,7 +49,7 @@
 }
 
 void EntryRouter::State::resendKeyClaims(EntryPacket &p) {
-  for (const EntryVm &vm : p.Keys.resetForResend())
+  for (const EntryVm &vm : p.Keys.resetForResend(View->KeyReplicas))
     Actions.emplace_back(SendClaim{vm, {p.Head.Key, p.Head.Request}});
   setTimer(p, std::min(p.Deadline, Now + Settings.ClaimTimeout));
   evaluateKeyClaims(p);
@@ -68,8 +68,11 @@
   // hand-over yet, or this daemon has just started and knows no peers. Refusing
   // at once would end the request with an unknown outcome, although a replica
   // with the key's history becomes available shortly.
-  if (Now < p.ClaimResendUntil &&
-      p.Keys.mayBecomeGranted(View->KeyReplicas, Settings)) {
+  // A replica that is leaving may need all the time that the caller has left.
+  const TimePoint until = p.Keys.awaitsHandOver(View->KeyReplicas)
+                              ? p.Deadline
+                              : p.ClaimResendUntil;
+  if (Now < until && p.Keys.mayBecomeGranted(View->KeyReplicas, Settings)) {
     p.ClaimResendDue = true;
     return setTimer(p, std::min(p.Deadline, Now + Settings.ClaimRepeat));
   }
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -132,7 +132,7 @@
   EntryPacket *p = find(event.Reply.Request);
   if (p && p->CurrentPhase == EntryPacket::Phase::ClaimingKey &&
       event.Reply.Key == p->Head.Key &&
-      p->Keys.recordReply(event.From, event.Reply.Verdict))
+      p->Keys.recordReply(event.From, event.Reply.Verdict, event.Reply.Leaving))
     evaluateKeyClaims(*p);
 }
 
--- a/Balsamrack/Flows/FlowMessages.h
+++ b/Balsamrack/Flows/FlowMessages.h
@@ -76,6 +76,8 @@
   RequestId Request;                           ///< As asked.
   KeyVerdict Verdict = KeyVerdict::InProgress; ///< State of the key at the
                                                ///< replica.
+  bool Leaving = false; ///< The replica has handed its keys over and grants no
+                        ///< new key.
 };
 
 /// Reports to a replica how the attempt that holds a key ended. NotRun frees
--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -29,9 +29,14 @@
                                                const KeyReplicaView &view,
                                                const EntrySettings &settings) {
   // A replica that died without replying can no longer refuse the key.
-  for (Replica &it : Replicas)
-    if (it.Status != State::Answered && !isMember(view, it.Vm.Id))
+  bool anyDeparted = false;
+  for (Replica &it : Replicas) {
+    if (it.Departed || isMember(view, it.Vm.Id))
+      continue;
+    it.Departed = anyDeparted = true;
+    if (it.Status != State::Answered)
       it.Status = State::Dead;
+  }
   bool anyUnreachable = false;
   size_t before = Replicas.size();
   for (const EntryVm &vm :
@@ -41,7 +46,7 @@
     bool unreachable = isUnreachable(view, vm.Id);
     anyUnreachable = anyUnreachable || unreachable;
     Replicas.push_back({vm, unreachable ? State::NoAnswer : State::Waiting,
-                        KeyVerdict::InProgress, false});
+                        KeyVerdict::InProgress, false, false, false});
   }
   // The request will be refused for as long as a replica is unreachable, so
   // send no claims. Otherwise another replica's reply could end it as "not
@@ -53,6 +58,17 @@
       Replicas[i].Status = State::NoAnswer;
     return toSend;
   }
+  // Ask replicas that replied Fresh again: one that left has handed its keys to
+  // them since. Judging by the earlier reply would refuse a key that can be
+  // granted.
+  for (size_t i = 0; anyDeparted && i < before; ++i) {
+    Replica &it = Replicas[i];
+    if (it.Status != State::Answered || it.Verdict != KeyVerdict::Fresh ||
+        it.Departed)
+      continue;
+    it.Status = State::Waiting;
+    toSend.push_back(it.Vm);
+  }
   for (size_t i = before; i < Replicas.size(); ++i) {
     Replica &it = Replicas[i];
     if (it.Status != State::Waiting)
@@ -70,12 +86,14 @@
   return nullptr;
 }
 
-bool KeyClaims::recordReply(const VmId &from, KeyVerdict verdict) {
+bool KeyClaims::recordReply(const VmId &from, KeyVerdict verdict,
+                            bool leaving) {
   Replica *g = find(from);
   if (!g || g->Status == State::Answered || !g->Sent)
     return false;
   g->Status = verdict == KeyVerdict::Unable ? State::NoAnswer : State::Answered;
   g->Verdict = verdict;
+  g->HandedOver = leaving;
   return true;
 }
 
@@ -162,15 +180,32 @@
   if (findReplicaKnowingKey())
     return false;
   return view.Members.size() < settings.KeyReplicaCount ||
+         awaitsHandOver(view) ||
          std::any_of(Replicas.begin(), Replicas.end(), isUnable);
 }
 
-std::vector<EntryVm> KeyClaims::resetForResend() {
+bool KeyClaims::isLeaving(const Replica &replica, const KeyReplicaView &view) {
+  if (!replica.Sent || replica.Status != State::NoAnswer)
+    return false;
+  auto it = std::find_if(
+      view.Members.begin(), view.Members.end(),
+      [&](const EntryVm &member) { return member.Id == replica.Vm.Id; });
+  return it != view.Members.end() && (it->Leaving || replica.HandedOver) &&
+         !isUnreachable(view, it->Id);
+}
+
+bool KeyClaims::awaitsHandOver(const KeyReplicaView &view) const {
+  return !findReplicaKnowingKey() &&
+         std::any_of(Replicas.begin(), Replicas.end(),
+                     [&](const Replica &it) { return isLeaving(it, view); });
+}
+
+std::vector<EntryVm> KeyClaims::resetForResend(const KeyReplicaView &view) {
   std::vector<EntryVm> toSend;
   for (Replica &it : Replicas) {
     bool fresh =
         it.Status == State::Answered && it.Verdict == KeyVerdict::Fresh;
-    if (!isUnable(it) && !fresh)
+    if (!isUnable(it) && !isLeaving(it, view) && !fresh)
       continue;
     it.Status = State::Waiting;
     toSend.push_back(it.Vm);
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -29,12 +29,14 @@
   };
 
   /// Adds the key's replicas under \p view that are new, and marks those that
-  /// are no longer members as dead. Returns the replicas to send a claim to.
+  /// are no longer members as departed. Returns the replicas to send a claim
+  /// to.
   std::vector<EntryVm> updateReplicas(const KeyDigest &key,
                                       const KeyReplicaView &view,
                                       const EntrySettings &settings);
-  /// Records a reply; false if it is unsolicited or a duplicate.
-  bool recordReply(const VmId &from, KeyVerdict verdict);
+  /// Records a reply; false if it is unsolicited or a duplicate. \p leaving is
+  /// true if the replica has handed its keys over.
+  bool recordReply(const VmId &from, KeyVerdict verdict, bool leaving = false);
   /// Records that a replica will not reply; false if no reply was outstanding.
   bool recordNoReply(const VmId &from);
   /// Records that the outstanding replies timed out.
@@ -54,9 +56,12 @@
   /// knows fewer daemons than a key has replicas. \p view is the current one.
   bool mayBecomeGranted(const KeyReplicaView &view,
                         const EntrySettings &settings) const;
+  /// True if a replica is leaving and no longer grants keys. Until it has left,
+  /// the key cannot be granted; then the next replicas have its keys.
+  bool awaitsHandOver(const KeyReplicaView &view) const;
   /// Discards the replies that such updates may change. Returns the replicas to
-  /// send the same claim to again.
-  std::vector<EntryVm> resetForResend();
+  /// send the same claim to again. \p view is the current one.
+  std::vector<EntryVm> resetForResend(const KeyReplicaView &view);
   /// State of each replica as one line, such as "vm-1 granted, vm-2 waiting".
   std::string describe() const;
   /// All replicas that a claim was sent to.
@@ -69,9 +74,12 @@
     State Status = State::Waiting;
     KeyVerdict Verdict = KeyVerdict::InProgress; ///< Valid if Answered.
     bool Sent = false;                           ///< A claim was sent to it.
+    bool Departed = false;                       ///< It is no longer a member.
+    bool HandedOver = false; ///< It replied that it has handed its keys over.
   };
   Replica *find(const VmId &vm);
   static bool isUnable(const Replica &replica);
+  static bool isLeaving(const Replica &replica, const KeyReplicaView &view);
   const Replica *findReplicaKnowingKey() const;
 
   std::vector<Replica> Replicas;
--- a/Balsamrack/Flows/KeyStore.cpp
+++ b/Balsamrack/Flows/KeyStore.cpp
@@ -152,7 +152,7 @@
 
 KeyReply KeyStore::claim(TimePoint now, const KeyClaim &claim,
                          const KeyReplicaView &view, const VmId &self) {
-  KeyReply reply{claim.Key, claim.Request, KeyVerdict::Unable};
+  KeyReply reply{claim.Key, claim.Request, KeyVerdict::Unable, false};
   Shard &shard = shardOf(claim.Key);
   std::lock_guard<std::mutex> lock(shard.Lock);
   shard.expire(now, Settings.KeyMemory);
@@ -163,8 +163,10 @@
   }
   // Read under the shard's lock, so that a claim is either part of the
   // hand-over or not granted.
-  if (HandedOver)
+  if (HandedOver) {
+    reply.Leaving = true;
     return reply;
+  }
   if (it == shard.Records.end()) {
     // If full, refuse the claim instead of evicting a key that may have run.
     if (shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
--- a/Balsamrack/Peers/PeerFields.h
+++ b/Balsamrack/Peers/PeerFields.h
@@ -273,6 +273,7 @@
   ar("k", m.Key);
   ar("r", m.Request);
   ar.oneOf("v", m.Verdict, KeyVerdict::Unable);
+  ar("l", m.Leaving);
 }
 
 template <class Ar>
--- a/UnitTests/Flows/KeyClaimScenariosTest.cpp
+++ b/UnitTests/Flows/KeyClaimScenariosTest.cpp
@@ -38,10 +38,25 @@
         members.end());
     view.KeyReplicas.RecentlyDeparted.assign(Dead.begin(), Dead.end());
     view.KeyReplicas.Unreachable = Unreachable;
+    for (EntryVm &it : members)
+      it.Leaving = Leaving.count(it.Id) != 0;
     View = *RoutingView::create(view);
     for (size_t i = 0; i < Vms; ++i)
       handle(i, ViewChanged{View});
   }
+  /// Daemon \p vm stops granting keys and exports them. Returns the messages.
+  std::vector<KeyStore::HandOverMessage> exportKeys(const VmId &vm) {
+    KeyReplicaView rest = View->KeyReplicas;
+    rest.Members.erase(
+        std::remove_if(rest.Members.begin(), rest.Members.end(),
+                       [&](const EntryVm &it) { return it.Id == vm; }),
+        rest.Members.end());
+    return Stores[indexOf(vm)]->exportKeys(Now, rest, vm, Incarnation{1}, 100);
+  }
+  void importKeys(const std::vector<KeyStore::HandOverMessage> &messages) {
+    for (const auto &it : messages)
+      Stores[indexOf(it.To.Id)]->importKeys(Now, it.Batch);
+  }
   void kill(const VmId &vm) {
     Dead.insert(vm);
     Stores[indexOf(vm)] = nullptr;
@@ -124,6 +139,7 @@
   std::vector<std::unique_ptr<EntryRouter>> Routers;
   std::set<VmId> Dead;
   std::vector<VmId> Unreachable;
+  std::set<VmId> Leaving;
   std::shared_ptr<const RoutingView> View;
   std::map<uint64_t, SendForward> Running;
   std::map<uint64_t, std::string> Ended;
@@ -371,6 +387,58 @@
   EXPECT_EQ(cluster.resultOf(1), "running");
 }
 
+// Guards against an unknown outcome of a request that did not run: a replica
+// that has just started reports that it lacks the key's history, and receives
+// it before the leaving replica is gone.
+TEST(KeyClaimScenariosTest, AReplicaIsAskedAgainAfterAHandOver) {
+  KeyCluster cluster(3);
+  VmId leaver = cluster.replica(0);
+  VmId fresh = cluster.replica(1);
+  cluster.Stores[KeyCluster::indexOf(fresh)] = cluster.makeStore(cluster.Now);
+  auto messages = cluster.exportKeys(leaver);
+  EXPECT_EQ(cluster.deposit(1, 1), "waiting");
+  cluster.importKeys(messages);
+  cluster.kill(leaver);
+  EXPECT_EQ(cluster.resultOf(1), "running");
+}
+
+/// How long a leaving replica takes to hand its keys over, and what becomes of
+/// a request with a new key.
+struct SlowHandOver {
+  const char *Name;
+  int64_t Millis;
+  const char *Result;
+};
+
+class EachSlowHandOver : public testing::TestWithParam<SlowHandOver> {};
+
+// Guards against an unknown outcome of a request whose caller has time to wait
+// for the end of a hand-over.
+TEST_P(EachSlowHandOver, IsAwaitedWhileTheCallerWaits) {
+  KeyCluster cluster(3);
+  VmId leaver = cluster.replica(0);
+  VmId fresh = cluster.replica(1);
+  cluster.Stores[KeyCluster::indexOf(fresh)] = cluster.makeStore(cluster.Now);
+  cluster.Leaving = {leaver};
+  cluster.publishView();
+  auto messages = cluster.exportKeys(leaver);
+  cluster.deposit(1, 1);
+  for (int64_t at = 0; at < GetParam().Millis; at += 10) {
+    cluster.Now += ms(10);
+    cluster.handle(1, EntryTicked{});
+  }
+  cluster.importKeys(messages);
+  cluster.kill(leaver);
+  EXPECT_EQ(cluster.resultOf(1), GetParam().Result);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    HandOvers, EachSlowHandOver,
+    testing::Values(SlowHandOver{"Quick", 100, "running"},
+                    SlowHandOver{"Slow", 3'000, "running"},
+                    SlowHandOver{"TooSlow", 11'000, "not-run/deadline-passed"}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 TEST(KeyStoreTest, RefusesRatherThanForgetsWhenFull) {
   KeyStoreSettings s;
   s.MaxKeys = 4;
