Deliver the ending of an attempt to the key's next replicas

What callers saw: a request was refused truthfully as not run; its repeat with the same key heard "unknown key-in-progress", for up to the key memory of 10 minutes.

Cause: an entry sends the ending to the replicas that it claimed. One that had exported its keys already freed the key for itself only; the replicas that took them over kept the attempt in progress. An ending that could not be sent, or that arrived before the hand-over, was lost in the same way, and a key that two attempts held could be freed by neither.

Change: a replica passes endings that arrive after its hand-over on to the next replicas. The store keeps all attempts of a key, each freed by itself, and remembers for 30 s which attempts did not run, so a hand-over that still lists one does not restore it. The entry sends an ending that was provably not sent again, to the replicas of its present view, for up to 30 s.

Sending an ending twice is safe: it concerns one attempt, which is over. Recordings hold the new event and whether a replica is leaving.

--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -351,13 +351,14 @@
   const auto view = Control->view();
   if (!view)
     return;
-  KeyReplicaView others = view->KeyReplicas;
-  others.Members.erase(
-      std::remove_if(others.Members.begin(), others.Members.end(),
+  NextKeyReplicas = view->KeyReplicas;
+  std::vector<EntryVm> &others = NextKeyReplicas.Members;
+  others.erase(
+      std::remove_if(others.begin(), others.end(),
                      [&](const EntryVm &it) { return it.Id == Self.Id; }),
-      others.Members.end());
-  for (auto &it :
-       Keys->exportKeys(Time.now(), others, Self.Id, Run, KeysPerMessage))
+      others.end());
+  for (auto &it : Keys->exportKeys(Time.now(), NextKeyReplicas, Self.Id, Run,
+                                   KeysPerMessage))
     send(it.To, std::move(it.Batch)).IgnoreError();
 }
 
@@ -457,17 +458,20 @@
 }
 
 void Daemon::settleKey(const EntryVm &from, const KeySettled &settled) {
-  const KeyStore::SettleResult result = Keys->settle(Time.now(), settled);
-  if (!Keys->hasHandedOver() && result != KeyStore::SettleResult::OtherAttempt)
+  Keys->settle(Time.now(), settled);
+  if (!Keys->hasHandedOver())
     return;
+  // The ending may have missed the hand-over: pass it on to the next replicas,
+  // which would otherwise refuse the key until it expires.
   TelemetrySink->logEvent(
       LogLine(Component::Owner, Severity::Info, "key-settled-late")
           .text("key", formatKey(settled.Key))
           .text("request", absl::StrFormat("%016x", settled.Request.Value))
           .text("entry", from.Id.str())
-          .text("ending", outcomeKindName(settled.How))
-          .flag("other_attempt", result == KeyStore::SettleResult::OtherAttempt)
-          .flag("handed_over", Keys->hasHandedOver()));
+          .text("ending", outcomeKindName(settled.How)));
+  for (const EntryVm &it : keyReplicas(settled.Key, NextKeyReplicas.Members,
+                                       Config.Keys.KeyReplicas))
+    send(it, settled).IgnoreError();
 }
 
 void Daemon::importKeys(const EntryVm &from, const KeysHandedOver &keys) {
@@ -477,7 +481,7 @@
           .text("peer", from.Id.str())
           .number("keys", keys.Keys.size())
           .number("stored", result.Stored)
-          .number("conflicts", result.Conflicts)
+          .number("outdated", result.Outdated)
           .flag("last", keys.Complete)
           .flag("covers", result.Covers));
 }
@@ -495,6 +499,8 @@
     Entry->onSendFailed(peer, it->Request);
   else if (const auto *it = std::get_if<KeyClaim>(&message))
     Entry->onSendFailed(peer, it->Request);
+  else if (const auto *it = std::get_if<KeySettled>(&message))
+    Entry->onSettleFailed(*it);
 }
 
 void Daemon::onOwned(const OwnedServers &owned) { Owner->setOwned(owned); }
--- a/Balsamrack/Daemon/Daemon.h
+++ b/Balsamrack/Daemon/Daemon.h
@@ -82,6 +82,8 @@
   std::unique_ptr<OwnershipFence> Fence;
   std::unique_ptr<OwnerFlows> Flows;
   std::unique_ptr<KeyStore> Keys;
+  KeyReplicaView NextKeyReplicas; ///< Replicas without this daemon. Set before
+                                  ///< Keys are exported, then constant.
   std::unique_ptr<ServerLink> Servers;
   std::unique_ptr<OwnerDispatcher> Owner;
   std::unique_ptr<EntryHandler> Entry;
--- a/Balsamrack/Daemon/EntryHandler.cpp
+++ b/Balsamrack/Daemon/EntryHandler.cpp
@@ -232,6 +232,10 @@
   step(shardOf(request), SendFailed{request, peer});
 }
 
+void EntryHandler::onSettleFailed(const KeySettled &settled) {
+  step(shardOf(settled.Request), SettleFailed{settled});
+}
+
 void EntryHandler::tick(TimePoint now) {
   for (auto &shard : Shards) {
     std::optional<TimePoint> due;
@@ -272,8 +276,7 @@
   else if (const auto *it = std::get_if<SendClaim>(&action))
     sendOrFail(it->To, it->Claim.Request, it->Claim);
   else if (const auto *it = std::get_if<SendSettled>(&action))
-    // Losing this message is safe: the receiver keeps the key as in progress.
-    Sender.send(it->To, it->Settled).IgnoreError();
+    settle(it->To, it->Settled);
   else if (const auto *it = std::get_if<SendCancel>(&action))
     Sender.send(it->To, CancelRequest{it->Request}).IgnoreError();
   else if (const auto *it = std::get_if<EndPacket>(&action))
@@ -301,6 +304,11 @@
   sendOrFail(action.To, action.Request, std::move(message));
 }
 
+void EntryHandler::settle(const EntryVm &to, const KeySettled &settled) {
+  if (!Sender.send(to, settled).ok())
+    onSettleFailed(settled);
+}
+
 void EntryHandler::sendOrFail(const EntryVm &to, RequestId request,
                               PeerMessage message) {
   const absl::Status status = Sender.send(to, std::move(message));
--- a/Balsamrack/Daemon/EntryHandler.h
+++ b/Balsamrack/Daemon/EntryHandler.h
@@ -58,6 +58,9 @@
   /// Handles a failed send: a message about \p request was certainly not sent
   /// to \p peer. Thread-safe.
   void onSendFailed(const VmId &peer, RequestId request);
+  /// The ending of an attempt was not sent to a replica of its key.
+  /// Thread-safe.
+  void onSettleFailed(const KeySettled &settled);
   /// Processes the timeouts of all routers that are due at \p now. Thread-safe.
   void tick(TimePoint now);
   /// Number of packets in progress. Thread-safe.
@@ -77,6 +80,7 @@
   void perform(Shard &shard, const EntryAction &action);
   void forward(Shard &shard, const SendForward &action);
   void endPacket(Shard &shard, const EndPacket &action);
+  void settle(const EntryVm &to, const KeySettled &settled);
   void sendOrFail(const EntryVm &to, RequestId request, PeerMessage message);
   Answer refuse(const std::string &peer, uint32_t status, Reason why,
                 const std::string &detail);
--- a/Balsamrack/Flows/EntryEvents.h
+++ b/Balsamrack/Flows/EntryEvents.h
@@ -50,6 +50,11 @@
   VmId Peer;         ///< The peer.
 };
 
+/// The ending of an attempt was provably not sent to a replica of its key.
+struct SettleFailed {
+  KeySettled Settled; ///< The message.
+};
+
 /// The caller closed its connection.
 struct CallerLeft {
   RequestId Request; ///< The caller's request.
@@ -64,9 +69,9 @@
 };
 
 /// Input events of an EntryRouter.
-using EntryEvent =
-    std::variant<PacketArrived, OwnerReplied, FlowReplied, KeyReplied, PeerLost,
-                 SendFailed, CallerLeft, EntryTicked, ViewChanged>;
+using EntryEvent = std::variant<PacketArrived, OwnerReplied, FlowReplied,
+                                KeyReplied, PeerLost, SendFailed, CallerLeft,
+                                EntryTicked, ViewChanged, SettleFailed>;
 
 /// Send a Forward; the daemon keeps the request's content.
 struct SendForward {
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -4,12 +4,16 @@
 
 #include "Balsamrack/Core/Errors.h"
 #include "Balsamrack/Flows/EntryRouterState.h"
+#include "Balsamrack/Flows/KeyStore.h"
 #include "absl/strings/str_cat.h"
 
 namespace balsamrack {
 
 namespace {
 
+/// Limit of UnsentEndings; more are dropped.
+constexpr size_t MaxUnsentEndings = 10'000;
+
 /// True if the ending that the owner reported proves that the server did not
 /// run the request.
 bool provablyNotRun(OutcomeKind how) {
@@ -47,9 +51,13 @@
 }
 
 std::optional<TimePoint> EntryRouter::nextWakeup() const {
-  if (Impl->Timers.empty())
-    return std::nullopt;
-  return Impl->Timers.begin()->first;
+  std::optional<TimePoint> next;
+  if (!Impl->Timers.empty())
+    next = Impl->Timers.begin()->first;
+  if (!Impl->EndingTimers.empty())
+    next = std::min(next.value_or(TimePoint::max()),
+                    Impl->EndingTimers.begin()->first);
+  return next;
 }
 
 size_t EntryRouter::inProgress() const {
@@ -177,6 +185,8 @@
 void EntryRouter::State::on(const EntryTicked & /*event*/) {
   while (!Timers.empty() && Timers.begin()->first <= Now)
     handleTimer(*find(Timers.begin()->second));
+  while (!EndingTimers.empty() && EndingTimers.begin()->first <= Now)
+    handleEndingTimer(UnsentEndings.at(EndingTimers.begin()->second));
 }
 
 void EntryRouter::State::on(const ViewChanged &event) {
@@ -190,6 +200,50 @@
   }
 }
 
+void EntryRouter::State::on(const SettleFailed &event) {
+  // An ending that did not run and is never received would hold the key until
+  // it expires: the caller was told so and would be refused when it comes back.
+  // Repeating it is safe, since it concerns this attempt only.
+  const RequestId request = event.Settled.Request;
+  auto it = UnsentEndings.find(request);
+  if (it == UnsentEndings.end()) {
+    if (UnsentEndings.size() >= MaxUnsentEndings)
+      return;
+    it =
+        UnsentEndings
+            .emplace(request, UnsentEnding{event.Settled, Now + Settings.Linger,
+                                           Now, Settings.ClaimRepeat, false})
+            .first;
+  }
+  UnsentEnding &ending = it->second;
+  if (std::exchange(ending.IsRetryDue, true))
+    return;
+  setEndingTimer(ending, std::min(ending.Until, Now + ending.RetryDelay));
+  ending.RetryDelay = std::min(2 * ending.RetryDelay, Settings.RetryAfter);
+}
+
+void EntryRouter::State::setEndingTimer(UnsentEnding &ending, TimePoint when) {
+  EndingTimers.erase({ending.NextAt, ending.Settled.Request});
+  ending.NextAt = when;
+  EndingTimers.emplace(when, ending.Settled.Request);
+}
+
+void EntryRouter::State::handleEndingTimer(UnsentEnding &ending) {
+  if (Now >= ending.Until) {
+    const RequestId request = ending.Settled.Request;
+    EndingTimers.erase({ending.NextAt, request});
+    UnsentEndings.erase(request);
+    return;
+  }
+  // Send it to the present replicas: one that left has handed the key to them.
+  ending.IsRetryDue = false;
+  for (const EntryVm &vm :
+       keyReplicas(ending.Settled.Key, View->KeyReplicas.Members,
+                   Settings.KeyReplicaCount))
+    Actions.emplace_back(SendSettled{vm, ending.Settled});
+  setEndingTimer(ending, ending.Until);
+}
+
 void EntryRouter::State::handleTimer(EntryPacket &p) {
   if (p.CurrentPhase == EntryPacket::Phase::Lingering)
     return erase(p);
--- a/Balsamrack/Flows/EntryRouterState.h
+++ b/Balsamrack/Flows/EntryRouterState.h
@@ -28,6 +28,16 @@
   std::map<RequestId, EntryPacket> Packets;
   std::set<std::pair<TimePoint, RequestId>> Timers; ///< One per packet.
   std::map<ServiceId, PlacementRetryBudget> Budgets;
+  /// An ending that a replica of its key has not received.
+  struct UnsentEnding {
+    KeySettled Settled;  ///< The message.
+    TimePoint Until;     ///< It is not sent after this time.
+    TimePoint NextAt;    ///< Time of its entry in EndingTimers.
+    Duration RetryDelay; ///< Delay of the next retry; doubles.
+    bool IsRetryDue;     ///< False while the last retry has not failed.
+  };
+  std::map<RequestId, UnsentEnding> UnsentEndings;
+  std::set<std::pair<TimePoint, RequestId>> EndingTimers; ///< One per ending.
   size_t NumLingering = 0; ///< Ended packets that wait for a late outcome.
   TimePoint Now;           ///< Time of the current step.
   std::vector<EntryAction> Actions; ///< Actions of the current step.
@@ -42,6 +52,7 @@
   void on(const CallerLeft &event);
   void on(const EntryTicked &event);
   void on(const ViewChanged &event);
+  void on(const SettleFailed &event);
 
   // Placement (EntryPlacement.cpp). Each may end the packet.
   void place(EntryPacket &p);
@@ -72,6 +83,8 @@
   void handleTimer(EntryPacket &p);
   void abandon(EntryPacket &p, Reason why);
   void settleKey(const EntryPacket &p, OutcomeKind how);
+  void setEndingTimer(UnsentEnding &ending, TimePoint when);
+  void handleEndingTimer(UnsentEnding &ending);
   void end(EntryPacket &p, OutcomeKind how, Reason why, const ServerId &server,
            Duration retryAfter, const char *rule);
   void end(EntryPacket &p, Outcome outcome, const char *rule);
--- a/Balsamrack/Flows/KeyStore.cpp
+++ b/Balsamrack/Flows/KeyStore.cpp
@@ -62,32 +62,96 @@
 /// One shard of the stored keys.
 class KeyStore::Shard {
 public:
-  /// Record of a key.
-  struct Record {
-    RequestId Request;  ///< Attempt that holds the key.
+  /// An attempt that claimed a key.
+  struct Attempt {
+    RequestId Request;  ///< The attempt.
     KeyVerdict Verdict; ///< InProgress, Answered or Unknown.
-    TimePoint At;       ///< Time of the claim or, once it is settled, of its
-                        ///< ending.
+  };
+  /// Record of a key. It usually has one attempt; a hand-over may add another
+  /// one that claimed the key at the leaving replica.
+  struct Record {
+    std::vector<Attempt> Attempts; ///< Not empty.
+    TimePoint At;                  ///< Time of the last change.
   };
 
   std::mutex Lock; ///< Guards the members below.
   std::map<KeyDigest, Record> Records;
   std::deque<std::pair<TimePoint, KeyDigest>> ByAge; ///< Oldest first.
+  std::set<RequestId> Freed; ///< Attempts that did not run, for FreedMemory.
+  std::deque<std::pair<TimePoint, RequestId>> FreedByAge; ///< Oldest first.
 
-  void put(const KeyDigest &key, const Record &record) {
-    Records[key] = record;
+  /// Sets the verdict of an attempt, adding it if necessary.
+  void put(TimePoint at, const KeyDigest &key, const Attempt &attempt) {
+    Record &record = Records[key];
+    Attempt *known = find(record, attempt.Request);
+    if (known)
+      known->Verdict = attempt.Verdict;
+    else
+      record.Attempts.push_back(attempt);
+    record.At = std::max(record.At, at);
     ByAge.emplace_back(record.At, key);
   }
 
-  void expire(TimePoint now, Duration memory) {
-    while (!ByAge.empty() && ByAge.front().first + memory <= now) {
+  /// Removes an attempt that did not run.
+  void free(TimePoint now, const KeyDigest &key, RequestId request,
+            size_t maxFreed) {
+    if (Freed.insert(request).second)
+      FreedByAge.emplace_back(now, request);
+    if (FreedByAge.size() > maxFreed)
+      forgetOldestFreed();
+    auto it = Records.find(key);
+    if (it == Records.end())
+      return;
+    std::vector<Attempt> &attempts = it->second.Attempts;
+    attempts.erase(std::remove_if(attempts.begin(), attempts.end(),
+                                  [&](const Attempt &attempt) {
+                                    return attempt.Request == request;
+                                  }),
+                   attempts.end());
+    if (attempts.empty())
+      Records.erase(it);
+  }
+
+  static Attempt *find(Record &record, RequestId request) {
+    for (Attempt &it : record.Attempts)
+      if (it.Request == request)
+        return &it;
+    return nullptr;
+  }
+
+  /// The verdict for attempts other than \p request; nothing if there is none.
+  static std::optional<KeyVerdict> verdictOfOthers(const Record &record,
+                                                   RequestId request) {
+    std::optional<KeyVerdict> verdict;
+    for (const Attempt &it : record.Attempts) {
+      if (it.Request == request)
+        continue;
+      // One that was answered tells the caller most.
+      if (!verdict || it.Verdict == KeyVerdict::Answered ||
+          *verdict == KeyVerdict::InProgress)
+        verdict = it.Verdict;
+    }
+    return verdict;
+  }
+
+  void expire(TimePoint now, const KeyStoreSettings &settings) {
+    while (!ByAge.empty() && ByAge.front().first + settings.KeyMemory <= now) {
       auto [at, key] = ByAge.front();
       ByAge.pop_front();
       // A record that was updated since has a later entry in ByAge.
       auto it = Records.find(key);
-      if (it != Records.end() && it->second.At + memory <= now)
+      if (it != Records.end() && it->second.At + settings.KeyMemory <= now)
         Records.erase(it);
     }
+    while (!FreedByAge.empty() &&
+           FreedByAge.front().first + settings.FreedMemory <= now)
+      forgetOldestFreed();
+  }
+
+private:
+  void forgetOldestFreed() {
+    Freed.erase(FreedByAge.front().second);
+    FreedByAge.pop_front();
   }
 };
 
@@ -155,11 +219,13 @@
   KeyReply reply{claim.Key, claim.Request, KeyVerdict::Unable, false};
   Shard &shard = shardOf(claim.Key);
   std::lock_guard<std::mutex> lock(shard.Lock);
-  shard.expire(now, Settings.KeyMemory);
+  shard.expire(now, Settings);
   auto it = shard.Records.find(claim.Key);
-  if (it != shard.Records.end() && it->second.Request != claim.Request) {
-    reply.Verdict = it->second.Verdict;
-    return reply;
+  if (it != shard.Records.end()) {
+    if (auto verdict = Shard::verdictOfOthers(it->second, claim.Request)) {
+      reply.Verdict = *verdict;
+      return reply;
+    }
   }
   // Read under the shard's lock, so that a claim is either part of the
   // hand-over or not granted.
@@ -173,7 +239,7 @@
       return reply;
     // Store the claim before the reply is sent, so that at most one of two
     // attempts is granted even if replies are lost.
-    shard.put(claim.Key, {claim.Request, KeyVerdict::InProgress, now});
+    shard.put(now, claim.Key, {claim.Request, KeyVerdict::InProgress});
   }
   reply.Verdict = hasFullHistory(now, claim.Key, view, self)
                       ? KeyVerdict::Granted
@@ -181,31 +247,19 @@
   return reply;
 }
 
-KeyStore::SettleResult KeyStore::settle(TimePoint now,
-                                        const KeySettled &settled) {
+void KeyStore::settle(TimePoint now, const KeySettled &settled) {
   bool ran = settled.How == OutcomeKind::Answered ||
              settled.How == OutcomeKind::OutcomeUnknown;
+  const size_t maxRecords = Settings.MaxKeys / Settings.Shards;
   Shard &shard = shardOf(settled.Key);
   std::lock_guard<std::mutex> lock(shard.Lock);
-  shard.expire(now, Settings.KeyMemory);
-  auto it = shard.Records.find(settled.Key);
-  if (it == shard.Records.end()) {
-    // Only another replica has stored the claim. Storing the ending here as
-    // well does no harm.
-    if (!ran || shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
-      return SettleResult::NoClaim;
-    shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
-    return SettleResult::Recorded;
-  }
-  // Another attempt holds the key, so this attempt must not settle it.
-  if (it->second.Request != settled.Request)
-    return SettleResult::OtherAttempt;
-  if (!ran) {
-    shard.Records.erase(it);
-    return SettleResult::Freed;
-  }
-  shard.put(settled.Key, {settled.Request, verdictOf(settled.How), now});
-  return SettleResult::Recorded;
+  shard.expire(now, Settings);
+  if (!ran)
+    return shard.free(now, settled.Key, settled.Request, maxRecords);
+  // Store the ending even if only another replica has stored the claim: this
+  // does no harm.
+  if (shard.Records.count(settled.Key) || shard.Records.size() < maxRecords)
+    shard.put(now, settled.Key, {settled.Request, verdictOf(settled.How)});
 }
 
 std::vector<KeyStore::HandOverMessage>
@@ -223,13 +277,14 @@
     std::lock_guard<std::mutex> lock(shard->Lock);
     for (const auto &[key, record] : shard->Records)
       for (const EntryVm &to :
-           keyReplicas(key, view.Members, Settings.KeyReplicaCount)) {
-        std::vector<HandOverMessage> &out = messages[to.Id];
-        if (out.back().Batch.Keys.size() >= maxKeys)
-          out.push_back({to, {}});
-        out.back().Batch.Keys.push_back(
-            {key, record.Request, record.Verdict, now - record.At});
-      }
+           keyReplicas(key, view.Members, Settings.KeyReplicaCount))
+        for (const Shard::Attempt &attempt : record.Attempts) {
+          std::vector<HandOverMessage> &out = messages[to.Id];
+          if (out.back().Batch.Keys.size() >= maxKeys)
+            out.push_back({to, {}});
+          out.back().Batch.Keys.push_back(
+              {key, attempt.Request, attempt.Verdict, now - record.At});
+        }
   }
 
   // The last message to each receiver states the total number of keys.
@@ -253,33 +308,37 @@
   return all;
 }
 
-bool KeyStore::importKey(TimePoint now, const KeysHandedOver::Entry &entry,
-                         ImportResult &result) {
-  if (entry.Age >= Settings.KeyMemory)
-    return true;
+void KeyStore::importAttempt(TimePoint now, const KeysHandedOver::Entry &entry,
+                             ImportResult &result) {
   Shard &shard = shardOf(entry.Key);
   std::lock_guard<std::mutex> lock(shard.Lock);
-  const auto known = shard.Records.find(entry.Key);
-  if (known == shard.Records.end()) {
-    if (shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
-      return false;
-    shard.put(entry.Key, {entry.Request, entry.Verdict, now - entry.Age});
-    return true;
-  }
-  // Another attempt claimed the key here meanwhile. Neither attempt may free
-  // the key for the other, so it stays until it expires.
-  if (known->second.Request != entry.Request) {
-    ++result.Conflicts;
-    shard.put(entry.Key, {RequestId(), KeyVerdict::Unknown, now});
+  // The sender exported the attempt before it received the ending.
+  bool isOver = entry.Verdict == KeyVerdict::InProgress &&
+                shard.Freed.count(entry.Request) != 0;
+  if (entry.Age >= Settings.KeyMemory || isOver) {
+    ++result.Stored;
+    result.Outdated += isOver ? 1 : 0;
+    return;
   }
-  return true;
+  auto it = shard.Records.find(entry.Key);
+  if (it == shard.Records.end() &&
+      shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
+    return;
+  ++result.Stored;
+  // An ending that was received here before is newer.
+  const Shard::Attempt *known = it == shard.Records.end()
+                                    ? nullptr
+                                    : Shard::find(it->second, entry.Request);
+  if (known && known->Verdict != KeyVerdict::InProgress)
+    return;
+  shard.put(now - entry.Age, entry.Key, {entry.Request, entry.Verdict});
 }
 
 KeyStore::ImportResult KeyStore::importKeys(TimePoint now,
                                             const KeysHandedOver &keys) {
   ImportResult result;
   for (const KeysHandedOver::Entry &it : keys.Keys)
-    result.Stored += importKey(now, it, result) ? 1 : 0;
+    importAttempt(now, it, result);
   std::lock_guard<std::mutex> lock(HandOverLock);
   // Count per incarnation: messages left from an earlier hand-over must not
   // make up for messages that this one lost.
@@ -300,7 +359,7 @@
 void KeyStore::expire(TimePoint now) {
   for (const auto &shard : Shards) {
     std::lock_guard<std::mutex> lock(shard->Lock);
-    shard->expire(now, Settings.KeyMemory);
+    shard->expire(now, Settings);
   }
 }
 
--- a/Balsamrack/Flows/KeyStore.h
+++ b/Balsamrack/Flows/KeyStore.h
@@ -31,6 +31,9 @@
   bool AssumeNoEarlierKeys = false; ///< True on a first installation, where no
                                     ///< key ran before this daemon started.
   size_t MaxKeys = 1'000'000;       ///< Hard limit; about 100 bytes per key.
+  Duration FreedMemory{30'000'000}; ///< How long an attempt that did not run is
+                                    ///< remembered; longer than a hand-over
+                                    ///< takes to arrive.
   uint32_t Shards = 16;             ///< One lock per shard.
 };
 
@@ -54,15 +57,9 @@
   /// daemon's current view, and \p self its id.
   KeyReply claim(TimePoint now, const KeyClaim &claim,
                  const KeyReplicaView &view, const VmId &self);
-  /// What settle() did.
-  enum class SettleResult {
-    Freed,        ///< The attempt did not run; the key is free again.
-    Recorded,     ///< The ending was recorded.
-    NoClaim,      ///< The key is not stored here, and the attempt did not run.
-    OtherAttempt, ///< Another attempt holds the key.
-  };
-  /// Records the ending of the attempt that holds a key.
-  SettleResult settle(TimePoint now, const KeySettled &settled);
+  /// Records the ending of an attempt. An attempt that did not run holds the
+  /// key no longer, also if a hand-over that still lists it arrives later.
+  void settle(TimePoint now, const KeySettled &settled);
   /// One message of a hand-over.
   struct HandOverMessage {
     EntryVm To;           ///< Receiver.
@@ -79,10 +76,11 @@
                                           size_t maxKeys);
   /// What importKeys() did with one message.
   struct ImportResult {
-    uint32_t Stored = 0;    ///< Keys that are stored now.
-    uint32_t Conflicts = 0; ///< Keys that another attempt holds here.
-    bool Covers = false;    ///< The hand-over is complete, and its sender had
-                            ///< the full history.
+    uint32_t Stored = 0;   ///< Attempts that are stored now, or known to be
+                           ///< over.
+    uint32_t Outdated = 0; ///< Attempts whose ending was received before.
+    bool Covers = false;   ///< The hand-over is complete, and its sender had
+                           ///< the full history.
   };
   /// Imports keys that a leaving replica handed over.
   ImportResult importKeys(TimePoint now, const KeysHandedOver &keys);
@@ -106,8 +104,8 @@
                       const KeyReplicaView &view, const VmId &self) const;
   bool isUpForKeyMemory(TimePoint now) const;
   bool isCoveredByHandOver(TimePoint now, const KeyDigest &key) const;
-  bool importKey(TimePoint now, const KeysHandedOver::Entry &entry,
-                 ImportResult &result);
+  void importAttempt(TimePoint now, const KeysHandedOver::Entry &entry,
+                     ImportResult &result);
 
   const KeyStoreSettings Settings;
   const TimePoint Started;
--- a/Balsamrack/Replay/TraceCodec.cpp
+++ b/Balsamrack/Replay/TraceCodec.cpp
@@ -16,7 +16,8 @@
 constexpr std::array<const char *, std::variant_size_v<EntryEvent>>
     EntryEventNames = {"PacketArrived", "OwnerReplied", "FlowReplied",
                        "KeyReplied",    "PeerLost",     "SendFailed",
-                       "CallerLeft",    "EntryTicked",  "ViewChanged"};
+                       "CallerLeft",    "EntryTicked",  "ViewChanged",
+                       "SettleFailed"};
 constexpr std::array<const char *, std::variant_size_v<OwnerEvent>>
     OwnerEventNames = {"ServersChanged", "RequestArrived", "RequestCancelled",
                        "DispatchEnded",  "HealthReported", "AuthorityChanged",
--- a/Balsamrack/Replay/TraceFields.h
+++ b/Balsamrack/Replay/TraceFields.h
@@ -115,6 +115,7 @@
   ar("key", m.Key);
   ar("request", m.Request);
   ar.oneOf("verdict", m.Verdict, KeyVerdict::Unable);
+  ar("leaving", m.Leaving);
 }
 
 template <class Ar>
@@ -139,6 +140,13 @@
   ar("request", m.Request);
 }
 
+template <class Ar>
+void traceFields(Ar &ar, typename Ar::template Ref<SettleFailed> m) {
+  ar("key", m.Settled.Key);
+  ar("request", m.Settled.Request);
+  ar.oneOf("ending", m.Settled.How, OutcomeKind::GivenUp);
+}
+
 template <class Ar>
 void traceFields(Ar &, typename Ar::template Ref<EntryTicked>) {}
 
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -430,5 +430,47 @@
   EXPECT_EQ(decisions[3].Server, harness.candidates()[1]);
 }
 
+// Guards against a key that stays in progress until it expires because a
+// replica left before it received that the request did not run.
+TEST(EntryRouterTest, AnUnsentEndingGoesToTheNextReplicas) {
+  constexpr KeyDigest Key{3, 9};
+  RoutingView view = makeView(4);
+  RouterHarness h(view);
+  h.arrive(true, Semantics::RunOnce, "", Key);
+  std::vector<SendClaim> claims = h.all<SendClaim>();
+  ASSERT_EQ(claims.size(), 2U);
+  for (const SendClaim &it : claims)
+    h.step(KeyReplied{it.To.Id, {Key, RequestId{1}, KeyVerdict::Granted}});
+  const ServerId server = h.forward().Server;
+  h.reply(OutcomeKind::NotRun, Reason::BadRequest, server);
+  std::vector<SendSettled> endings = h.all<SendSettled>();
+  ASSERT_EQ(endings.size(), 2U);
+  const VmId leaver = endings[0].To.Id;
+  h.step(SettleFailed{endings[0].Settled});
+  // It has not left yet in the view, so the first retry fails as well.
+  h.Now += h.Settings.ClaimRepeat;
+  h.step(EntryTicked{});
+  EXPECT_EQ(h.all<SendSettled>().size(), 2U);
+  h.step(SettleFailed{endings[0].Settled});
+  auto &members = view.KeyReplicas.Members;
+  members.erase(
+      std::remove_if(members.begin(), members.end(),
+                     [&](const EntryVm &it) { return it.Id == leaver; }),
+      members.end());
+  h.setView(view);
+  h.Now = *h.Router->nextWakeup();
+  h.step(EntryTicked{});
+  endings = h.all<SendSettled>();
+  ASSERT_EQ(endings.size(), 2U);
+  for (const SendSettled &it : endings) {
+    EXPECT_NE(it.To.Id, leaver);
+    EXPECT_EQ(it.Settled.How, OutcomeKind::NotRun);
+  }
+  h.Now += h.Settings.Linger;
+  h.step(EntryTicked{});
+  EXPECT_TRUE(h.all<SendSettled>().empty());
+  EXPECT_FALSE(h.Router->nextWakeup().has_value());
+}
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Flows/KeyClaimScenariosTest.cpp
+++ b/UnitTests/Flows/KeyClaimScenariosTest.cpp
@@ -439,6 +439,71 @@
                     SlowHandOver{"TooSlow", 11'000, "not-run/deadline-passed"}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+/// What a replica receives about attempt 1, which did not run: "claim",
+/// "hand-over" of a replica that exported it, and "settle"; and a "claim by 2".
+struct LateEnding {
+  const char *Name;
+  std::vector<std::string> Steps;
+  KeyVerdict Verdict; ///< For attempt 3 after that.
+};
+
+class EachLateEnding : public testing::TestWithParam<LateEnding> {};
+
+// Guards against a key that stays in progress after its caller was told that
+// the request did not run, because the ending and a hand-over crossed.
+TEST_P(EachLateEnding, FreesTheKeyInAnyOrder) {
+  auto store = std::move(*KeyStore::create({}, TimePoint()));
+  const TimePoint now{std::chrono::hours(1)};
+  KeysHandedOver handOver;
+  handOver.Keys = {{Key, RequestId{1}, KeyVerdict::InProgress, ms(10)}};
+  handOver.From = vmId(5);
+  auto claim = [&](uint64_t request) {
+    return store->claim(now, {Key, RequestId{request}}, {}, vmId(0)).Verdict;
+  };
+  for (const std::string &step : GetParam().Steps)
+    if (step == "claim")
+      claim(1);
+    else if (step == "claim by 2")
+      claim(2);
+    else if (step == "hand-over")
+      store->importKeys(now, handOver);
+    else
+      store->settle(now, {Key, RequestId{1}, OutcomeKind::NotRun});
+  EXPECT_EQ(claim(3), GetParam().Verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, EachLateEnding,
+    testing::Values(
+        LateEnding{"InOrder", {"hand-over", "settle"}, KeyVerdict::Granted},
+        LateEnding{"EndingFirst", {"settle", "hand-over"}, KeyVerdict::Granted},
+        LateEnding{"AlsoClaimedHere",
+                   {"claim", "settle", "hand-over"},
+                   KeyVerdict::Granted},
+        LateEnding{"NeverEnded", {"hand-over"}, KeyVerdict::InProgress},
+        LateEnding{"AnotherAttemptHoldsIt",
+                   {"claim by 2", "hand-over", "settle"},
+                   KeyVerdict::InProgress}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+// Guards against an attempt that keeps its key until it expires because another
+// attempt had claimed the key when the hand-over arrived.
+TEST(KeyStoreTest, TwoAttemptsFreeTheKeyEachForItself) {
+  auto store = std::move(*KeyStore::create({}, TimePoint()));
+  const TimePoint now{std::chrono::hours(1)};
+  KeysHandedOver handOver;
+  handOver.Keys = {{Key, RequestId{1}, KeyVerdict::InProgress, ms(10)}};
+  store->claim(now, {Key, RequestId{2}}, {}, vmId(0));
+  store->importKeys(now, handOver);
+  auto claim = [&] {
+    return store->claim(now, {Key, RequestId{3}}, {}, vmId(0)).Verdict;
+  };
+  store->settle(now, {Key, RequestId{2}, OutcomeKind::NotRun});
+  EXPECT_EQ(claim(), KeyVerdict::InProgress);
+  store->settle(now, {Key, RequestId{1}, OutcomeKind::NotRun});
+  EXPECT_EQ(claim(), KeyVerdict::Granted);
+}
+
 TEST(KeyStoreTest, RefusesRatherThanForgetsWhenFull) {
   KeyStoreSettings s;
   s.MaxKeys = 4;
--- a/UnitTests/Replay/ReplayTest.cpp
+++ b/UnitTests/Replay/ReplayTest.cpp
@@ -44,7 +44,8 @@
           PeerLost{VmId("vm-2")},
           SendFailed{{11}, VmId("vm-2")},
           CallerLeft{{11}},
-          EntryTicked{}};
+          EntryTicked{},
+          SettleFailed{{{1, 2}, {11}, OutcomeKind::NotRun}}};
 }
 
 std::vector<OwnerEvent> ownerEvents() {
