Tell callers of an established flow when to come back

Cause: ServiceOwner refuses while shutting down without a retry-after time, since an entry offers a new flow elsewhere at once. For an established flow the entry passed the refusal on as it was.

Change: the entry adds its own time to a refusal that will pass, as it does for new flows. Test: ARefusalByTheOwnerSaysWhenToComeBack (written with the change; the code before returns zero there by reading, not run). 194 tests of keys, routers and replay pass.

--- a/Balsamrack/Flows/EntryPlacement.cpp
+++ b/Balsamrack/Flows/EntryPlacement.cpp
@@ -7,10 +7,6 @@
 
 namespace balsamrack {
 
-namespace {
-
-/// True if a new flow refused for this reason may be offered to another server,
-/// because the reason concerns only the one server or its owner.
 bool isRetryableElsewhere(Reason why) {
   switch (why) {
   case Reason::QueueFull:
@@ -33,8 +29,6 @@
   }
 }
 
-} // namespace
-
 FlowId EntryRouter::State::rankKey(const EntryPacket &p) const {
   if (Settings.UseRank)
     return p.Head.Flow;
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -125,6 +125,12 @@
   Outcome outcome = event.Result;
   if (outcome.Server.empty())
     outcome.Server = server;
+  // Without a time, callers return at once, many times before the server has
+  // its next owner.
+  if (outcome.Kind == OutcomeKind::NotRun &&
+      outcome.RetryAfter <= Duration::zero() &&
+      isRetryableElsewhere(outcome.Cause))
+    outcome.RetryAfter = jitteredRetryAfter();
   end(*p, std::move(outcome), "owner-said");
 }
 
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -472,5 +472,16 @@
   EXPECT_FALSE(h.Router->nextWakeup().has_value());
 }
 
+// Guards against callers of an established flow that come back at once, again
+// and again, while the owner of its server is shutting down.
+TEST(EntryRouterTest, ARefusalByTheOwnerSaysWhenToComeBack) {
+  RouterHarness h(makeView(4));
+  h.arrive(false, Semantics::Idempotent);
+  const ServerId server = h.forward().Server;
+  h.reply(OutcomeKind::NotRun, Reason::ShuttingDown, server);
+  EXPECT_EQ(h.ending(), "not-run/shutting-down");
+  EXPECT_GE(h.End.Result.RetryAfter, h.Settings.RetryAfter);
+}
+
 } // namespace
 } // namespace balsamrack
