Do not count a Forward that was never sent as lost with its owner

Cause: the loss of a connection ends all requests that the router has forwarded to the peer. A Forward may then still wait in the send queue, or not have reached it: the router decides under a lock and sends without it. Such a request did not run.

Evidence: vm-1 placed the request with vm-2 at 442462 ms, 10 ms after vm-2 had asked it to send nothing more; the connection closed in the same millisecond and ended the request before the queue was returned.

Change: a link rejects frames while its peer is stopping; on a loss it first returns the Forwards in its queue and rejects further ones until the loss is reported, so each was written or is known to be unsent; a loss does not end requests whose Forward is not passed to the transport yet, and one that overlaps with a loss is ended by a loss of its own. Other frames are sent on the next connection, as before.

The other owner gets the request only after it is known to be unsent, so nothing runs twice. Recordings hold which requests a loss excepts.

--- a/Balsamrack/Daemon/EntryHandler.cpp
+++ b/Balsamrack/Daemon/EntryHandler.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Daemon/EntryHandler.h"
 
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -83,9 +84,12 @@
 /// A router and the packets in progress that it routes.
 struct EntryHandler::Shard {
   std::string Name;                    ///< Identifies the shard in recordings.
-  std::mutex Lock;                     ///< Guards Router and Packets.
+  std::mutex Lock;                     ///< Guards the members below.
   std::unique_ptr<EntryRouter> Router; ///< Not null.
   absl::flat_hash_map<RequestId, std::shared_ptr<PendingPacket>> Packets;
+  std::map<std::pair<RequestId, VmId>, bool>
+      Sending; ///< Forwards being passed to the transport, by owner, and
+               ///< whether the owner was lost meanwhile.
 };
 
 absl::StatusOr<std::unique_ptr<EntryHandler>>
@@ -224,8 +228,20 @@
 }
 
 void EntryHandler::onPeerLost(const VmId &peer) {
-  for (auto &shard : Shards)
-    step(*shard, PeerLost{peer});
+  for (auto &shard : Shards) {
+    std::vector<EntryAction> actions;
+    {
+      std::lock_guard<std::mutex> guard(shard->Lock);
+      PeerLost event{peer, {}, {}};
+      for (auto &[key, lost] : shard->Sending)
+        if (key.second == peer) {
+          lost = true;
+          event.NotSent.push_back(key.first);
+        }
+      actions = stepRouter(*shard, event);
+    }
+    performAll(*shard, actions);
+  }
 }
 
 void EntryHandler::onSendFailed(const VmId &peer, RequestId request) {
@@ -248,16 +264,30 @@
   }
 }
 
+std::vector<EntryAction> EntryHandler::stepRouter(Shard &shard,
+                                                  const EntryEvent &event) {
+  // Read the clock under the lock, so that a shard's time never goes back.
+  const TimePoint now = Time.now();
+  if (Settings.Record)
+    Settings.Record->record({shard.Name, now, event});
+  std::vector<EntryAction> actions = shard.Router->step(now, event);
+  for (const EntryAction &it : actions)
+    if (const auto *forward = std::get_if<SendForward>(&it))
+      shard.Sending[{forward->Request, forward->To.Id}] = false;
+  return actions;
+}
+
 void EntryHandler::step(Shard &shard, const EntryEvent &event) {
   std::vector<EntryAction> actions;
   {
-    // Read the clock under the lock, so that a shard's time never goes back.
     std::lock_guard<std::mutex> guard(shard.Lock);
-    const TimePoint now = Time.now();
-    if (Settings.Record)
-      Settings.Record->record({shard.Name, now, event});
-    actions = shard.Router->step(now, event);
+    actions = stepRouter(shard, event);
   }
+  performAll(shard, actions);
+}
+
+void EntryHandler::performAll(Shard &shard,
+                              const std::vector<EntryAction> &actions) {
   // Perform the actions without the lock, since a message to this daemon is
   // handled within send(). Record decisions first, so that the journal has them
   // before their consequences.
@@ -284,15 +314,19 @@
 }
 
 void EntryHandler::forward(Shard &shard, const SendForward &action) {
+  const std::pair<RequestId, VmId> key(action.Request, action.To.Id);
   std::shared_ptr<PendingPacket> packet;
   {
     std::lock_guard<std::mutex> guard(shard.Lock);
     auto it = shard.Packets.find(action.Request);
-    if (it != shard.Packets.end())
-      packet = it->second;
+    if (it == shard.Packets.end()) {
+      shard.Sending.erase(key);
+      return;
+    }
+    packet = it->second;
+    // A loss of the owner up to here does not concern this message.
+    shard.Sending[key] = false;
   }
-  if (!packet)
-    return;
   Forward message;
   message.Head = packet->Head;
   message.Head.Remaining = action.Remaining;
@@ -301,7 +335,23 @@
   message.Accept = action.Accept;
   message.ByToken = action.ByToken;
   message.Content = packet->Content;
-  sendOrFail(action.To, action.Request, std::move(message));
+  const absl::Status status = Sender.send(action.To, std::move(message));
+  bool lost = false;
+  {
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    auto it = shard.Sending.find(key);
+    if (it != shard.Sending.end()) {
+      lost = it->second;
+      shard.Sending.erase(it);
+    }
+  }
+  if (!status.ok()) {
+    TelemetrySink.recordError(Component::Entry, status);
+    onSendFailed(action.To.Id, action.Request);
+  } else if (lost) {
+    // It may have been written to the connection that was lost.
+    step(shard, PeerLost{action.To.Id, {}, action.Request});
+  }
 }
 
 void EntryHandler::settle(const EntryVm &to, const KeySettled &settled) {
--- a/Balsamrack/Daemon/EntryHandler.h
+++ b/Balsamrack/Daemon/EntryHandler.h
@@ -76,6 +76,8 @@
 
   Shard &shardOf(RequestId request);
   RequestId nextRequest(FlowId flow);
+  std::vector<EntryAction> stepRouter(Shard &shard, const EntryEvent &event);
+  void performAll(Shard &shard, const std::vector<EntryAction> &actions);
   void step(Shard &shard, const EntryEvent &event);
   void perform(Shard &shard, const EntryAction &action);
   void forward(Shard &shard, const SendForward &action);
--- a/Balsamrack/Flows/EntryEvents.h
+++ b/Balsamrack/Flows/EntryEvents.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "Balsamrack/Flows/FlowMessages.h"
 #include "Balsamrack/Flows/RoutingView.h"
@@ -42,6 +43,9 @@
 /// sent to it.
 struct PeerLost {
   VmId Peer; ///< The peer.
+  std::vector<RequestId> NotSent =
+      {};              ///< Requests whose Forward to it has not been sent yet.
+  RequestId Only = {}; ///< If set, the only request concerned.
 };
 
 /// A message of this request was provably not sent to this peer.
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -152,6 +152,8 @@
 
 void EntryRouter::State::on(const PeerLost &event) {
   for (RequestId id : requestIds()) {
+    if (event.Only.Value != 0 && id != event.Only)
+      continue;
     EntryPacket &p = *find(id);
     if (p.CurrentPhase == EntryPacket::Phase::ClaimingKey) {
       if (p.Keys.recordNoReply(event.Peer))
@@ -160,7 +162,9 @@
       if (p.Search.recordNoReply(event.Peer))
         evaluateSearch(p);
     } else if (p.CurrentPhase == EntryPacket::Phase::Forwarded &&
-               p.Outstanding->To.Id == event.Peer) {
+               p.Outstanding->To.Id == event.Peer &&
+               std::find(event.NotSent.begin(), event.NotSent.end(), id) ==
+                   event.NotSent.end()) {
       handleOwnerLoss(p, false);
     }
   }
--- a/Balsamrack/Peers/PeerDialer.cpp
+++ b/Balsamrack/Peers/PeerDialer.cpp
@@ -89,6 +89,7 @@
   void onPong(const ChannelPtr &channel);
   void handleGoAway(const ChannelPtr &channel);
   void returnQueuedFrames(const ChannelPtr &channel);
+  void reportLoss(const ChannelPtr &channel);
   void onClosed(const ChannelPtr &channel);
   void handleConnectFailure(const ChannelPtr &channel, const std::string &why);
   void reportUnsent(const ChannelPtr &channel, const QueuedFrame &frame);
@@ -145,7 +146,8 @@
       channel->RemoteAddress != channel->Link.address()) {
     dropConnection(channel, close_code::going_away, "moved");
     Settings.reportConnection(channel->Link.peer(), "outbound-moved");
-    Listener.onPeerLost(channel->Link.peer());
+    channel->Link.setStopping(false);
+    reportLoss(channel);
   }
   if (channel->Link.empty())
     return;
@@ -272,6 +274,7 @@
   // The connection stays open until the peer has answered what it received.
   Settings.reportConnection(channel->Link.peer(), "peer-stopping");
   channel->CurrentState = OutboundChannel::State::PeerStopping;
+  channel->Link.setStopping(true);
   channel->Connection->send(std::string(GoAwayFrame), text);
   Stats.countSent(false, std::strlen(GoAwayFrame));
   returnQueuedFrames(channel);
@@ -312,10 +315,18 @@
   channel->Connection.reset();
   ++Stats.ConnectionsLost;
   Settings.reportConnection(channel->Link.peer(), "outbound-closed");
-  Listener.onPeerLost(channel->Link.peer());
+  reportLoss(channel);
+  channel->Link.setStopping(false);
   processQueue(channel); // Frames still queued were not sent.
 }
 
+void WebsocketDialer::reportLoss(const ChannelPtr &channel) {
+  for (const QueuedFrame &frame : channel->Link.beginLoss())
+    reportUnsent(channel, frame);
+  Listener.onPeerLost(channel->Link.peer());
+  channel->Link.endLoss();
+}
+
 void WebsocketDialer::handleConnectFailure(const ChannelPtr &channel,
                                            const std::string &why) {
   dropConnection(channel, close_code::policy_violation, "connect failed");
@@ -325,7 +336,7 @@
   for (const QueuedFrame &frame :
        channel->Link.recordConnectFailure(steady_clock::now(), Random))
     reportUnsent(channel, frame);
-  Listener.onPeerLost(channel->Link.peer());
+  reportLoss(channel);
 }
 
 void WebsocketDialer::reportUnsent(const ChannelPtr &channel,
--- a/Balsamrack/Peers/PeerLink.cpp
+++ b/Balsamrack/Peers/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Peers/PeerLink.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Balsamrack/Core/Errors.h"
@@ -18,6 +19,12 @@
   if (Closed)
     return makeSendError(absl::StatusCode::kUnavailable,
                          "transport is stopped");
+  if (Stopping)
+    return makeSendError(absl::StatusCode::kUnavailable,
+                         "the peer is stopping");
+  if (ReportingLoss && frame.ReturnOnLoss)
+    return makeSendError(absl::StatusCode::kUnavailable,
+                         "the connection was lost");
   // The VM was replaced by one at another address: failures of the old address
   // do not apply to the new one.
   if (RemoteAddress != to.PeerAt)
@@ -82,6 +89,30 @@
   return std::exchange(Frames, {});
 }
 
+std::deque<QueuedFrame> PeerLink::beginLoss() {
+  std::lock_guard<std::mutex> hold(Lock);
+  ReportingLoss = true;
+  auto kept = std::stable_partition(
+      Frames.begin(), Frames.end(),
+      [](const QueuedFrame &frame) { return frame.ReturnOnLoss; });
+  std::deque<QueuedFrame> returned(std::make_move_iterator(Frames.begin()),
+                                   std::make_move_iterator(kept));
+  Frames.erase(Frames.begin(), kept);
+  for (const QueuedFrame &frame : returned)
+    QueuedBytes -= frame.Bytes.size();
+  return returned;
+}
+
+void PeerLink::endLoss() {
+  std::lock_guard<std::mutex> hold(Lock);
+  ReportingLoss = false;
+}
+
+void PeerLink::setStopping(bool stopping) {
+  std::lock_guard<std::mutex> hold(Lock);
+  Stopping = stopping;
+}
+
 void PeerLink::recordConnectSuccess() {
   std::lock_guard<std::mutex> hold(Lock);
   Backoff = Duration(0);
--- a/Balsamrack/Peers/PeerLink.h
+++ b/Balsamrack/Peers/PeerLink.h
@@ -16,8 +16,10 @@
 
 /// An encoded message that waits for its connection.
 struct QueuedFrame {
-  std::string Bytes;   ///< The frame.
-  bool IsData = false; ///< True for data, false for control traffic.
+  std::string Bytes;         ///< The frame.
+  bool IsData = false;       ///< True for data, false for control traffic.
+  bool ReturnOnLoss = false; ///< Return it as unsent when the peer is lost,
+                             ///< instead of sending it on the next connection.
 };
 
 /// Send queue and connect backoff of one peer. Thread-safe.
@@ -32,7 +34,8 @@
   /// The peer at the other end.
   const VmId &peer() const { return Peer; }
   /// Queues a frame. Error (step send-to-peer) if the queue is full, the last
-  /// connect failed recently, or the link is closed; the frame is dropped then.
+  /// connect failed recently, the peer is stopping, or the link is closed; the
+  /// frame is dropped then.
   /// Sets \p wake if the thread that processes the link must be woken.
   absl::Status push(const EntryVm &to, QueuedFrame frame, Instant now,
                     bool &wake);
@@ -50,6 +53,14 @@
   /// returns the queued ones.
   std::deque<QueuedFrame> recordConnectFailure(Instant now,
                                                RandomSource &random);
+  /// Begins to report a loss of the peer. Returns the queued frames with
+  /// ReturnOnLoss, and rejects further ones until endLoss(). So each such frame
+  /// is either written to the lost connection or known to be unsent.
+  std::deque<QueuedFrame> beginLoss();
+  /// The loss of the peer has been reported.
+  void endLoss();
+  /// Rejects all frames while the peer is stopping.
+  void setStopping(bool stopping);
   /// Records a successful connect, in either direction, and resets the backoff.
   void recordConnectSuccess();
   /// Rejects all further frames.
@@ -66,6 +77,8 @@
   Address RemoteAddress;
   bool WakePending = false; ///< The processing thread has been woken.
   bool Closed = false;
+  bool Stopping = false;      ///< The peer is stopping.
+  bool ReportingLoss = false; ///< Between beginLoss() and endLoss().
   Duration Backoff{
       0}; ///< Delay after the last failed connect; zero: none failed.
   Instant NextConnectTime; ///< Earliest time of the next connect.
--- a/Balsamrack/Peers/PeerTransport.h
+++ b/Balsamrack/Peers/PeerTransport.h
@@ -18,7 +18,8 @@
   /// Hello. Must not block for long. Thread-safe.
   virtual void onPeerMessage(const EntryVm &from, PeerMessage message) = 0;
   /// The connection to \p peer was lost: messages sent on it that have no
-  /// answer yet will get none. Thread-safe.
+  /// answer yet will get none. A Forward that was not written to it is returned
+  /// before, or send() returns an error for it. Thread-safe.
   virtual void onPeerLost(const VmId &peer) = 0;
   /// \p message was accepted by send(), but no connection to \p peer was
   /// established, and the message provably did not leave this process. Called
--- a/Balsamrack/Peers/WebsocketTransport.cpp
+++ b/Balsamrack/Peers/WebsocketTransport.cpp
@@ -82,7 +82,8 @@
   if (std::holds_alternative<Hello>(message))
     return makeError(absl::StatusCode::kInvalidArgument, Step::SendToPeer,
                      to.Id.str(), "Hello is sent by the transport only");
-  QueuedFrame frame{encodePeerMessage(message), isDataMessage(message)};
+  QueuedFrame frame{encodePeerMessage(message), isDataMessage(message),
+                    std::holds_alternative<Forward>(message)};
   if (frame.Bytes.size() > Settings.MaxFrameBytes)
     return makeError(absl::StatusCode::kInvalidArgument, Step::SendToPeer,
                      to.Id.str(), "message is too large");
--- a/Balsamrack/Replay/TraceFields.h
+++ b/Balsamrack/Replay/TraceFields.h
@@ -127,6 +127,8 @@
 template <class Ar>
 void traceFields(Ar &ar, typename Ar::template Ref<PeerLost> m) {
   ar("peer", m.Peer);
+  ar("not_sent", m.NotSent);
+  ar("only", m.Only);
 }
 
 template <class Ar>
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -483,5 +483,17 @@
   EXPECT_GE(h.End.Result.RetryAfter, h.Settings.RetryAfter);
 }
 
+// Guards against an unknown outcome of a request that was about to be forwarded
+// when the connection to its owner closed.
+TEST(EntryRouterTest, ALossDoesNotConcernAnUnsentForward) {
+  RouterHarness h(makeView(4));
+  h.arrive(true);
+  const SendForward forward = h.forward();
+  h.step(PeerLost{forward.To.Id, {RequestId{1}}, {}});
+  EXPECT_EQ(h.ending(), "-");
+  h.step(SendFailed{RequestId{1}, forward.To.Id});
+  EXPECT_EQ(h.all<SendForward>().size(), 1U);
+}
+
 } // namespace
 } // namespace balsamrack
