Never let a log reader that has stopped reading hold up a daemon's end

What operators would see: a daemon whose log reader hangs never ends on SIGTERM.

Cause: the writer thread of the event log sat in write(2) on the full pipe, and the destructor joins it. EINTR and a reader that is gone ended the writing of a batch, and its lines were counted nowhere.

Change: LineWriter polls before it writes at most what a pipe takes without blocking, gives up at StopTimeout (0.5 s) when it is to stop, continues after EINTR and counts what nobody took as dropped.

--- a/Balsamrack/Observability/EventLog.cpp
+++ b/Balsamrack/Observability/EventLog.cpp
@@ -1,16 +1,12 @@
 #include "Balsamrack/Observability/EventLog.h"
 
-#include <unistd.h>
-
 #include <chrono>
-#include <condition_variable>
 #include <cstdio>
 #include <map>
 #include <mutex>
-#include <thread>
 #include <utility>
-#include <vector>
 
+#include "Balsamrack/Observability/LineWriter.h"
 #include "Balsamrack/Observability/LogNames.h"
 #include "absl/strings/str_cat.h"
 
@@ -40,23 +36,16 @@
 class AsyncEventLog final : public EventLog {
 public:
   AsyncEventLog(const EventLogSettings &settings, int fd, const Clock &clock)
-      : Settings(settings), Fd(fd), Time(clock),
-        Writer([this] { runWriter(); }) {}
-  AsyncEventLog(const AsyncEventLog &) = delete;
-  AsyncEventLog &operator=(const AsyncEventLog &) = delete;
-  ~AsyncEventLog() override {
-    {
-      std::lock_guard<std::mutex> guard(Lock);
-      Stopping = true;
-    }
-    WakeWriter.notify_all();
-    Writer.join();
-  }
+      : Settings(settings), Time(clock),
+        Writer(
+            LineWriter::create({settings.MaxQueuedLines, settings.FlushInterval,
+                                settings.StopTimeout},
+                               fd)) {}
 
   void write(const LogLine &line) override;
   uint64_t dropped() const override {
     std::lock_guard<std::mutex> guard(Lock);
-    return Dropped;
+    return Dropped + Writer->unwritten();
   }
 
 private:
@@ -66,37 +55,29 @@
     uint64_t Dropped = 0;
   };
 
-  void runWriter();
   void startNewSecond(TimePoint now);
   void enqueue(const LogLine &line);
-  void writeAll(const std::string &text) const;
 
   const EventLogSettings Settings;
-  const int Fd;
   const Clock &Time;
-  mutable std::mutex Lock; ///< Guards the members below.
-  std::condition_variable WakeWriter;
-  std::vector<std::string> QueuedLines;
-  std::map<std::string, EventRate> Rates; ///< By event name.
+  const std::unique_ptr<LineWriter> Writer; ///< Not null.
+  mutable std::mutex Lock;                  ///< Guards the members below.
+  std::map<std::string, EventRate> Rates;   ///< By event name.
   TimePoint SecondStart;
   uint64_t Dropped = 0;
-  bool Stopping = false;
-  std::thread Writer; ///< Last member, since the thread uses those above.
 };
 
 void AsyncEventLog::enqueue(const LogLine &line) {
-  if (QueuedLines.size() >= Settings.MaxQueuedLines) {
-    ++Dropped;
-    ++Rates[line.event()].Dropped;
-    return;
-  }
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   auto wall = std::chrono::system_clock::now().time_since_epoch();
-  QueuedLines.push_back(
-      absl::StrCat("{\"at_ms\":", duration_cast<milliseconds>(wall).count(),
-                   ",\"up_ms\":", Time.now().time_since_epoch().count() / 1000,
-                   ",", line.str(), "}\n"));
+  if (Writer->enqueue(absl::StrCat(
+          "{\"at_ms\":", duration_cast<milliseconds>(wall).count(),
+          ",\"up_ms\":", Time.now().time_since_epoch().count() / 1000, ",",
+          line.str(), "}\n")))
+    return;
+  ++Dropped;
+  ++Rates[line.event()].Dropped;
 }
 
 void AsyncEventLog::startNewSecond(TimePoint now) {
@@ -122,38 +103,6 @@
   }
   ++rate.Lines;
   enqueue(line);
-  if (QueuedLines.size() == Settings.MaxQueuedLines / 2)
-    WakeWriter.notify_one();
-}
-
-void AsyncEventLog::writeAll(const std::string &text) const {
-  size_t written = 0;
-  while (written < text.size()) {
-    ssize_t n = ::write(Fd, text.data() + written, text.size() - written);
-    // The reader is gone, and there is no other place to report it.
-    if (n <= 0)
-      return;
-    written += static_cast<size_t>(n);
-  }
-}
-
-void AsyncEventLog::runWriter() {
-  std::unique_lock<std::mutex> lock(Lock);
-  for (;;) {
-    bool stopping = Stopping;
-    std::vector<std::string> lines = std::exchange(QueuedLines, {});
-    if (!lines.empty()) {
-      lock.unlock();
-      std::string text;
-      for (const std::string &line : lines)
-        text += line;
-      writeAll(text);
-      lock.lock();
-    }
-    if (stopping && QueuedLines.empty())
-      return;
-    WakeWriter.wait_for(lock, Settings.FlushInterval);
-  }
 }
 
 } // namespace
--- a/Balsamrack/Observability/EventLog.h
+++ b/Balsamrack/Observability/EventLog.h
@@ -52,22 +52,26 @@
       2'000; ///< Capacity of the queue of lines to be written, about 700 KB.
   Duration FlushInterval{
       250'000}; ///< Interval at which queued lines are written, in one call.
+  Duration StopTimeout{500'000}; ///< How long the destructor waits for a reader
+                                 ///< that reads nothing.
 };
 
-/// Structured log with one JSON object per line. Never blocks: a separate
-/// thread writes the lines from a bounded queue. Lines above a limit are
-/// dropped and counted, and the counts are logged. Thread-safe.
+/// Structured log with one JSON object per line. Never blocks: a LineWriter
+/// writes the lines from a bounded queue. Lines above a limit are dropped and
+/// counted, and the counts are logged. Thread-safe.
 class EventLog {
 public:
   /// Creates a log that writes to the file descriptor \p fd and
   /// does not close it. Precondition: \p clock outlives the log. Thread-safe.
   static std::unique_ptr<EventLog> create(const EventLogSettings &settings,
                                           int fd, const Clock &clock);
-  /// Writes the queued lines.
+  /// Writes the queued lines, as far as the reader takes them within
+  /// StopTimeout.
   virtual ~EventLog() = default;
   /// Queues a line.
   virtual void write(const LogLine &line) = 0;
-  /// Returns the number of lines dropped so far.
+  /// Returns the number of lines that were dropped, or queued and not written,
+  /// so far.
   virtual uint64_t dropped() const = 0;
 };
 
