Do not queue a Forward after its owner's loss was reported

What callers saw: an "unknown owner-lost" for a request that was never sent.

Cause: a request whose Forward is being passed to the transport while the loss of its owner is reported counted as lost when the call succeeded. The call may have queued the message after the loss, for the next connection. In the log vm-1 ended the request at 32689 ms and had its Forward back as not sent (connect failed) at 32690.

Change: the report of the loss cancels such a message, and the link reads that under the lock under which it queues. So a message is queued before the loss is reported, and was then written or is returned, or not at all, and its request goes elsewhere.

Test: ACancelledForwardIsNotQueued (new call, so it cannot be built before).

--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -413,6 +413,14 @@
                          to.Id.str(), "peer transport is not started yet");
 }
 
+absl::Status Daemon::sendForward(const EntryVm &to, Forward message,
+                                 const std::atomic<bool> &cancelled) {
+  PeerTransport *transport = ActiveTransport.load();
+  if (to.Id == Self.Id || !transport)
+    return send(to, std::move(message));
+  return transport->sendForward(to, message, cancelled);
+}
+
 void Daemon::onPeerMessage(const EntryVm &from, PeerMessage message) {
   if (auto *it = std::get_if<Forward>(&message)) {
     Owner->onForward(from, std::move(*it));
--- a/Balsamrack/Daemon/Daemon.h
+++ b/Balsamrack/Daemon/Daemon.h
@@ -42,6 +42,8 @@
   bool shutDown();
 
   absl::Status send(const EntryVm &to, PeerMessage message) override;
+  absl::Status sendForward(const EntryVm &to, Forward message,
+                           const std::atomic<bool> &cancelled) override;
   void onPeerMessage(const EntryVm &from, PeerMessage message) override;
   void onPeerLost(const VmId &peer) override;
   void onSendFailed(const VmId &peer, PeerMessage message) override;
--- a/Balsamrack/Daemon/EntryHandler.cpp
+++ b/Balsamrack/Daemon/EntryHandler.cpp
@@ -1,5 +1,6 @@
 #include "Balsamrack/Daemon/EntryHandler.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -87,7 +88,7 @@
   std::mutex Lock;                     ///< Guards the members below.
   std::unique_ptr<EntryRouter> Router; ///< Not null.
   absl::flat_hash_map<RequestId, std::shared_ptr<PendingPacket>> Packets;
-  std::map<std::pair<RequestId, VmId>, bool>
+  std::map<std::pair<RequestId, VmId>, std::shared_ptr<std::atomic<bool>>>
       Sending; ///< Forwards being passed to the transport, by owner, and
                ///< whether the owner was lost meanwhile.
 };
@@ -235,7 +236,7 @@
       PeerLost event{peer, {}, {}};
       for (auto &[key, lost] : shard->Sending)
         if (key.second == peer) {
-          lost = true;
+          *lost = true;
           event.NotSent.push_back(key.first);
         }
       actions = stepRouter(*shard, event);
@@ -273,7 +274,8 @@
   std::vector<EntryAction> actions = shard.Router->step(now, event);
   for (const EntryAction &it : actions)
     if (const auto *forward = std::get_if<SendForward>(&it))
-      shard.Sending[{forward->Request, forward->To.Id}] = false;
+      shard.Sending[{forward->Request, forward->To.Id}] =
+          std::make_shared<std::atomic<bool>>(false);
   return actions;
 }
 
@@ -315,6 +317,7 @@
 
 void EntryHandler::forward(Shard &shard, const SendForward &action) {
   const std::pair<RequestId, VmId> key(action.Request, action.To.Id);
+  auto lost = std::make_shared<std::atomic<bool>>(false);
   std::shared_ptr<PendingPacket> packet;
   {
     std::lock_guard<std::mutex> guard(shard.Lock);
@@ -325,7 +328,7 @@
     }
     packet = it->second;
     // A loss of the owner up to here does not concern this message.
-    shard.Sending[key] = false;
+    shard.Sending[key] = lost;
   }
   Forward message;
   message.Head = packet->Head;
@@ -335,21 +338,20 @@
   message.Accept = action.Accept;
   message.ByToken = action.ByToken;
   message.Content = packet->Content;
-  const absl::Status status = Sender.send(action.To, std::move(message));
-  bool lost = false;
+  // A message that is queued before a loss is reported was written to the lost
+  // connection or is returned; afterwards it is not queued.
+  const absl::Status status =
+      Sender.sendForward(action.To, std::move(message), *lost);
   {
     std::lock_guard<std::mutex> guard(shard.Lock);
     auto it = shard.Sending.find(key);
-    if (it != shard.Sending.end()) {
-      lost = it->second;
+    if (it != shard.Sending.end() && it->second == lost)
       shard.Sending.erase(it);
-    }
   }
   if (!status.ok()) {
     TelemetrySink.recordError(Component::Entry, status);
     onSendFailed(action.To.Id, action.Request);
-  } else if (lost) {
-    // It may have been written to the connection that was lost.
+  } else if (*lost) {
     step(shard, PeerLost{action.To.Id, {}, action.Request});
   }
 }
--- a/Balsamrack/Peers/PeerLink.cpp
+++ b/Balsamrack/Peers/PeerLink.cpp
@@ -22,7 +22,8 @@
   if (Stopping)
     return makeSendError(absl::StatusCode::kUnavailable,
                          "the peer is stopping");
-  if (ReportingLoss && frame.ReturnOnLoss)
+  const std::atomic<bool> *cancelled = std::exchange(frame.Cancelled, nullptr);
+  if ((ReportingLoss && frame.ReturnOnLoss) || (cancelled && *cancelled))
     return makeSendError(absl::StatusCode::kUnavailable,
                          "the connection was lost");
   // The VM was replaced by one at another address: failures of the old address
--- a/Balsamrack/Peers/PeerLink.h
+++ b/Balsamrack/Peers/PeerLink.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_PEERS_PEERLINK_H
 #define BALSAMRACK_PEERS_PEERLINK_H
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <deque>
@@ -20,6 +21,9 @@
   bool IsData = false;       ///< True for data, false for control traffic.
   bool ReturnOnLoss = false; ///< Return it as unsent when the peer is lost,
                              ///< instead of sending it on the next connection.
+  const std::atomic<bool> *Cancelled =
+      nullptr; ///< Read by PeerLink::push() only, which rejects the frame if it
+               ///< is set; may be null.
 };
 
 /// Send queue and connect backoff of one peer. Thread-safe.
--- a/Balsamrack/Peers/PeerTransport.h
+++ b/Balsamrack/Peers/PeerTransport.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_PEERS_PEERTRANSPORT_H
 #define BALSAMRACK_PEERS_PEERTRANSPORT_H
 
+#include <atomic>
 #include <cstdint>
 
 #include "Balsamrack/Core/Address.h"
@@ -51,6 +52,10 @@
   /// An error (step send-to-peer) means that the message provably did not leave
   /// this process; success does not imply delivery. Thread-safe.
   virtual absl::Status send(const EntryVm &to, const PeerMessage &message) = 0;
+  /// As send(), but returns an error also if \p cancelled is set when the
+  /// message is queued. Thread-safe.
+  virtual absl::Status sendForward(const EntryVm &to, const Forward &message,
+                                   const std::atomic<bool> &cancelled) = 0;
   /// Counters since the start. Thread-safe.
   virtual TransportCounters counters() const = 0;
   /// Waits until each connected peer has handled all messages queued for it so
--- a/Balsamrack/Peers/WebsocketTransport.cpp
+++ b/Balsamrack/Peers/WebsocketTransport.cpp
@@ -33,7 +33,13 @@
   ~AsioTransport() override { AsioTransport::stop(); }
 
   absl::Status start(PeerListener &listener);
-  absl::Status send(const EntryVm &to, const PeerMessage &message) override;
+  absl::Status send(const EntryVm &to, const PeerMessage &message) override {
+    return enqueue(to, message, nullptr);
+  }
+  absl::Status sendForward(const EntryVm &to, const Forward &message,
+                           const std::atomic<bool> &cancelled) override {
+    return enqueue(to, message, &cancelled);
+  }
   TransportCounters counters() const override { return Stats.snapshot(); }
   bool flush(Duration limit) override;
   bool stopReceiving(Duration limit) override;
@@ -41,6 +47,8 @@
   Address at() const override { return Acceptor->at(); }
 
 private:
+  absl::Status enqueue(const EntryVm &to, const PeerMessage &message,
+                       const std::atomic<bool> *cancelled);
   void run();
   void drain(steady_clock::time_point deadline);
   void closeAcceptor(steady_clock::time_point deadline);
@@ -77,13 +85,14 @@
   return absl::OkStatus();
 }
 
-absl::Status AsioTransport::send(const EntryVm &to,
-                                 const PeerMessage &message) {
+absl::Status AsioTransport::enqueue(const EntryVm &to,
+                                    const PeerMessage &message,
+                                    const std::atomic<bool> *cancelled) {
   if (std::holds_alternative<Hello>(message))
     return makeError(absl::StatusCode::kInvalidArgument, Step::SendToPeer,
                      to.Id.str(), "Hello is sent by the transport only");
   QueuedFrame frame{encodePeerMessage(message), isDataMessage(message),
-                    std::holds_alternative<Forward>(message)};
+                    std::holds_alternative<Forward>(message), cancelled};
   if (frame.Bytes.size() > Settings.MaxFrameBytes)
     return makeError(absl::StatusCode::kInvalidArgument, Step::SendToPeer,
                      to.Id.str(), "message is too large");
--- a/UnitTests/Peers/WebsocketTransportTest.cpp
+++ b/UnitTests/Peers/WebsocketTransportTest.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Peers/WebsocketTransport.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <thread>
@@ -265,6 +266,21 @@
   EXPECT_TRUE(waitUntil([&] { return a.hasEvent("lost vm-b"); }));
 }
 
+// Guards against a request that is counted as lost with its owner, and sent on
+// the next connection all the same.
+TEST(WebsocketTransportTest, ACancelledForwardIsNotQueued) {
+  TransportPeer a("vm-a");
+  TransportPeer b("vm-b");
+  std::atomic<bool> cancelled{true};
+  EXPECT_EQ(a.Transport->sendForward(b.vm(), withBody(9), cancelled).code(),
+            absl::StatusCode::kUnavailable);
+  cancelled = false;
+  EXPECT_TRUE(a.Transport->sendForward(b.vm(), withBody(8), cancelled).ok());
+  ASSERT_TRUE(waitUntil([&] { return !b.received().empty(); }));
+  EXPECT_EQ(b.received(),
+            std::vector<std::string>{"vm-a " + encodePeerMessage(withBody(8))});
+}
+
 // Guards against a daemon that announces its leave before its peers have
 // handled the keys that it handed over.
 TEST(WebsocketTransportTest, FlushWaitsUntilPeersHaveHandledMessages) {
