Let an established flow wait for its server's next owner

Change: for shutting-down and not-owner an established flow gets at least the entry's own retry time. Test: ARefusalByTheOwnerSaysWhenToComeBack now replies with the owner's 50 ms, as the owner does; it is stricter than before.

--- a/Balsamrack/Flows/EntryPlacement.cpp
+++ b/Balsamrack/Flows/EntryPlacement.cpp
@@ -7,6 +7,10 @@
 
 namespace balsamrack {
 
+namespace {
+
+/// True if a new flow refused for this reason may be offered to another server,
+/// because the reason concerns only the one server or its owner.
 bool isRetryableElsewhere(Reason why) {
   switch (why) {
   case Reason::QueueFull:
@@ -29,6 +33,8 @@
   }
 }
 
+} // namespace
+
 FlowId EntryRouter::State::rankKey(const EntryPacket &p) const {
   if (Settings.UseRank)
     return p.Head.Flow;
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -125,12 +125,11 @@
   Outcome outcome = event.Result;
   if (outcome.Server.empty())
     outcome.Server = server;
-  // Without a time, callers return at once, many times before the server has
-  // its next owner.
-  if (outcome.Kind == OutcomeKind::NotRun &&
-      outcome.RetryAfter <= Duration::zero() &&
-      isRetryableElsewhere(outcome.Cause))
-    outcome.RetryAfter = jitteredRetryAfter();
+  // The owner states the time after which another server may take a new flow.
+  // This flow has to wait until its server has its next owner.
+  if (outcome.Cause == Reason::ShuttingDown ||
+      outcome.Cause == Reason::NotOwner)
+    outcome.RetryAfter = std::max(outcome.RetryAfter, jitteredRetryAfter());
   end(*p, std::move(outcome), "owner-said");
 }
 
--- a/Balsamrack/Flows/EntryRouterState.h
+++ b/Balsamrack/Flows/EntryRouterState.h
@@ -13,10 +13,6 @@
 
 namespace balsamrack {
 
-/// True if a new flow refused for this reason may be offered to another server,
-/// because the reason concerns only the one server or its owner, and will pass.
-bool isRetryableElsewhere(Reason why);
-
 /// State of an EntryRouter and the steps of its event handlers. Methods that
 /// may end a packet are marked as such; the packet is erased then, and
 /// references to it become invalid. Not thread-safe.
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -1,6 +1,9 @@
 #include <deque>
 #include <map>
 
+#include <optional>
+
+#include "Balsamrack/Decisions/OwnerSettings.h"
 #include "Balsamrack/Flows/FlowToken.h"
 #include "UnitTests/Flows/RouterHarness.h"
 
@@ -478,7 +481,13 @@
   RouterHarness h(makeView(4));
   h.arrive(false, Semantics::Idempotent);
   const ServerId server = h.forward().Server;
-  h.reply(OutcomeKind::NotRun, Reason::ShuttingDown, server);
+  Outcome refusal;
+  refusal.Request = RequestId{1};
+  refusal.Kind = OutcomeKind::NotRun;
+  refusal.Cause = Reason::ShuttingDown;
+  refusal.Server = server;
+  refusal.RetryAfter = OwnerSettings().Waits.MinRetryAfter;
+  h.step(OwnerReplied{h.LastForward.To.Id, refusal});
   EXPECT_EQ(h.ending(), "not-run/shutting-down");
   EXPECT_GE(h.End.Result.RetryAfter, h.Settings.RetryAfter);
 }
