Wait for slow key replicas as long as the caller does

Cause: claims without a reply ended after 250 ms, whatever time the caller had left. On a starved machine the replies came later.

Evidence: vm-3 ended the requests with "vm-1 no-reply, vm-2 no-reply"; vm-2 received both claims 40 to 81 ms after that and answered.

Change: while a reply is missing and nothing proves that no attempt ran, the request waits until its caller's deadline; it then ends not-run, since it was never forwarded. If a replica proves it, the caller is told after 250 ms, as before. A replica that becomes unreachable meanwhile counts as silent at once.

Test: of four cases of EachSlowReplica BothSlow, OneSlow and BothSilent cannot pass on the code before (its timer ends the request; by reading, not run). 202 tests of keys, routers and replay pass.

--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -261,6 +261,11 @@
   if (p.CurrentPhase == EntryPacket::Phase::ClaimingKey) {
     if (std::exchange(p.ClaimResendDue, false))
       return resendKeyClaims(p);
+    // The missing replies may still come while the caller waits. Ending now is
+    // better only if the caller can be told that nothing ran.
+    if (Settings.OnUnreachableReplica == UnreachableReplicaPolicy::Refuse &&
+        !p.Keys.isProvenNotRun(Settings))
+      return setTimer(p, p.Deadline);
     p.Keys.recordTimeout();
     return evaluateKeyClaims(p);
   }
--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -31,6 +31,8 @@
   // A replica that died without replying can no longer refuse the key.
   bool anyDeparted = false;
   for (Replica &it : Replicas) {
+    if (it.Status == State::Waiting && isUnreachable(view, it.Vm.Id))
+      it.Status = State::NoAnswer;
     if (it.Departed || isMember(view, it.Vm.Id))
       continue;
     it.Departed = anyDeparted = true;
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -47,7 +47,6 @@
   Reason refusalReason() const;
   /// True if a replica confirmed that no earlier attempt ran, although the
   /// request must not run because another replica's reply is missing.
-  /// Precondition: evaluate() returned Refuse.
   bool isProvenNotRun(const EntrySettings &settings) const;
   /// True if a replica that may be alive did not reply.
   bool hasMissingReply() const;
--- a/UnitTests/Flows/EntryRouterTest.cpp
+++ b/UnitTests/Flows/EntryRouterTest.cpp
@@ -433,6 +433,56 @@
   EXPECT_EQ(decisions[3].Server, harness.candidates()[1]);
 }
 
+/// What one replica of a new key replies at once, when the other one replies
+/// Granted, and what becomes of the request.
+struct SlowReplica {
+  const char *Name;
+  std::optional<KeyVerdict> FirstReply;
+  int64_t SecondReplyMillis; ///< More than the 10 s of the caller: never.
+  const char *Ending;        ///< "-" if it is forwarded.
+};
+
+class EachSlowReplica : public testing::TestWithParam<SlowReplica> {};
+
+// Guards against an unknown outcome of a request that was never forwarded,
+// while a replica that is slow, on a busy machine, may still reply in time.
+TEST_P(EachSlowReplica, IsAwaitedUnlessNothingRanForSure) {
+  constexpr KeyDigest Key{3, 9};
+  RouterHarness h(makeView(4));
+  h.arrive(true, Semantics::RunOnce, "", Key);
+  std::vector<SendClaim> claims = h.all<SendClaim>();
+  ASSERT_EQ(claims.size(), 2U);
+  auto reply = [&](size_t i, KeyVerdict verdict) {
+    h.step(KeyReplied{claims[i].To.Id, {Key, RequestId{1}, verdict}});
+  };
+  if (GetParam().FirstReply)
+    reply(0, *GetParam().FirstReply);
+  std::string ending = h.ending();
+  for (int64_t at = 0; at < 10'000 && ending == "-"; at += 50) {
+    if (at == GetParam().SecondReplyMillis) {
+      if (!GetParam().FirstReply)
+        reply(0, KeyVerdict::Fresh);
+      reply(1, KeyVerdict::Granted);
+      h.forward();
+      break;
+    }
+    h.Now += ms(50);
+    h.step(EntryTicked{});
+    ending = h.ending();
+  }
+  EXPECT_EQ(ending, GetParam().Ending);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Replicas, EachSlowReplica,
+    testing::Values(SlowReplica{"BothSlow", std::nullopt, 3'000, "-"},
+                    SlowReplica{"OneSlow", KeyVerdict::Fresh, 3'000, "-"},
+                    SlowReplica{"BothSilent", std::nullopt, 11'000,
+                                "not-run/deadline-passed"},
+                    SlowReplica{"OneSilentTheOtherSure", KeyVerdict::Granted,
+                                11'000, "not-run/key-unknown"}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 // Guards against a key that stays in progress until it expires because a
 // replica left before it received that the request did not run.
 TEST(EntryRouterTest, AnUnsentEndingGoesToTheNextReplicas) {
