--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -449,8 +449,8 @@
 
 void Daemon::claimKey(const EntryVm &from, const KeyClaim &claim) {
   const auto view = Control->view();
-  static const KeyReplicaView NoReplicas;
-  const KeyReplicaView &replicas = view ? view->KeyReplicas : NoReplicas;
+  static const KeyReplicaView noReplicas;
+  const KeyReplicaView &replicas = view ? view->KeyReplicas : noReplicas;
   const KeyReply reply = Keys->claim(Time.now(), claim, replicas, Self.Id);
   if (reply.Verdict != KeyVerdict::Granted)
     TelemetrySink->logEvent(
