--- a/Balsamrack/Daemon/Daemon.cpp
+++ b/Balsamrack/Daemon/Daemon.cpp
@@ -27,9 +27,12 @@
 constexpr Duration ExceptionPeriod{500'000};
 constexpr size_t ExceptionBytes = 512;
 constexpr size_t KeysPerMessage = 500;
+/// The fraction (1/N) of the shutdown limit for peers to handle the keys that
+/// they are handed. A peer that does not run must not use up all of it.
+constexpr int KeyDeliveryDivisor = 4;
 /// The fraction (1/N) of the shutdown limit for each step of closing the peers'
 /// connections.
-constexpr int ShutdownDrainDivisor = 4;
+constexpr int DrainDivisor = 10;
 /// Time for peers to stop sending if the shutdown limit is exhausted.
 constexpr Duration MinReceiveTime{500'000};
 
@@ -181,7 +184,7 @@
   peers.Run = Run;
   peers.FleetKey = Config.Peers.FleetKey;
   peers.Allowed = Config.Peers.Allowed;
-  peers.DrainTimeout = Config.ShutdownLimit / ShutdownDrainDivisor;
+  peers.DrainTimeout = Config.ShutdownLimit / DrainDivisor;
   peers.OnFault = [this](const absl::Status &fault) {
     TelemetrySink->recordError(Component::Peers, fault);
   };
@@ -233,7 +236,6 @@
   Control->beginLeave();
   const bool released = waitFor(start + Config.ShutdownLimit / 2,
                                 [&] { return Control->isReleased(); });
-
   logShutdownStep(released ? "ownership-released" : "ownership-kept");
 
   // Reject new packets and complete those in progress.
@@ -246,7 +248,8 @@
   handOverKeys();
   // Announce the leave only when the next replicas have the keys: from then on
   // entries ask them.
-  const bool delivered = Transport->flush(end - Time.now());
+  const bool delivered = Transport->flush(
+      std::min(end - Time.now(), Config.ShutdownLimit / KeyDeliveryDivisor));
   logShutdownStep(delivered ? "keys-handed-over" : "keys-not-delivered");
   Control->finishLeave();
   logShutdownStep("left");
--- a/Balsamrack/Peers/WebsocketTransport.cpp
+++ b/Balsamrack/Peers/WebsocketTransport.cpp
@@ -62,7 +62,8 @@
   boost::asio::io_context Context{1};
   std::unique_ptr<PeerAcceptor> Acceptor;
   std::unique_ptr<PeerDialer> Dialer;
-  std::mutex StopLock; ///< Held while the thread is joined.
+  bool StoppedReceiving = false; ///< stopReceiving() was called.
+  std::mutex StopLock;           ///< Held while the thread is joined.
   std::thread IoThread;
 };
 
@@ -142,6 +143,7 @@
 }
 
 bool AsioTransport::stopReceiving(Duration limit) {
+  StoppedReceiving = true;
   boost::asio::post(Context, [this] { Acceptor->beginDrain(); });
   return awaitOnContext([this] { return Acceptor->isDrained(); }, limit);
 }
@@ -175,7 +177,8 @@
   if (!IoThread.joinable())
     return;
   // Receive first, so that the listener can answer what peers have sent.
-  stopReceiving(Settings.DrainTimeout);
+  if (!StoppedReceiving)
+    stopReceiving(Settings.DrainTimeout);
   Dialer->rejectNewFrames();
   boost::asio::post(
       Context, [this] { drain(steady_clock::now() + Settings.DrainTimeout); });
