--- a/UnitTests/Flows/KeyClaimScenariosTest.cpp
+++ b/UnitTests/Flows/KeyClaimScenariosTest.cpp
@@ -315,18 +315,10 @@
   cluster.answer(0, 1, OutcomeKind::Answered, Reason::None);
   VmId leaver = cluster.replica(0);
   VmId other = cluster.replica(1);
-  KeyReplicaView rest = cluster.View->KeyReplicas;
-  rest.Members.erase(
-      std::remove_if(rest.Members.begin(), rest.Members.end(),
-                     [&](const EntryVm &it) { return it.Id == leaver; }),
-      rest.Members.end());
   // One message to each of the others, marked as complete.
-  auto batches = cluster.Stores[KeyCluster::indexOf(leaver)]->exportKeys(
-      cluster.Now, rest, leaver, Incarnation{1}, 100);
-  ASSERT_EQ(batches.size(), 5U);
-  for (const auto &it : batches)
-    cluster.Stores[KeyCluster::indexOf(it.To.Id)]->importKeys(cluster.Now,
-                                                              it.Batch);
+  auto messages = cluster.exportKeys(leaver);
+  ASSERT_EQ(messages.size(), 5U);
+  cluster.importKeys(messages);
   cluster.kill(leaver);
   cluster.kill(other);
   EXPECT_EQ(cluster.deposit(1, 2), "unknown/key-answered");
@@ -370,17 +362,9 @@
   VmId leaver = cluster.replica(0);
   VmId fresh = cluster.replica(1);
   cluster.Stores[KeyCluster::indexOf(fresh)] = cluster.makeStore(cluster.Now);
-  KeyReplicaView rest = cluster.View->KeyReplicas;
-  rest.Members.erase(
-      std::remove_if(rest.Members.begin(), rest.Members.end(),
-                     [&](const EntryVm &it) { return it.Id == leaver; }),
-      rest.Members.end());
-  auto batches = cluster.Stores[KeyCluster::indexOf(leaver)]->exportKeys(
-      cluster.Now, rest, leaver, Incarnation{1}, 100);
+  auto messages = cluster.exportKeys(leaver);
   EXPECT_EQ(cluster.deposit(1, 1), "waiting");
-  for (const auto &it : batches)
-    cluster.Stores[KeyCluster::indexOf(it.To.Id)]->importKeys(cluster.Now,
-                                                              it.Batch);
+  cluster.importKeys(messages);
   cluster.kill(leaver);
   cluster.Now += cluster.Settings.ClaimRepeat;
   cluster.handle(1, EntryTicked{});
