Publish priorities and connection limits to the packet router, with load settings

Change: routes carry their priority and services their connection limit, from the store through the exchange between daemons to PacketRoutes.

Measured: unit tests of packets, store pages and the peer codec pass.

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -85,6 +85,7 @@
   PacketRouterSettings router;
   router.Domain = Settings.Domain;
   router.MaxFlows = Settings.MaxFlows;
+  router.Load = Settings.Load;
   Forwarder =
       std::make_unique<PacketForwarder>(router, Deps.Codec, *std::move(socket),
                                         Deps.Time, seed, TelemetrySink, [this] {
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -19,6 +19,7 @@
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
 #include "Balsamrack/Packets/ServerTable.h"
+#include "Balsamrack/Settings/LoadSettings.h"
 
 namespace balsamrack {
 
@@ -46,6 +47,7 @@
       1'500'000}; ///< Time until the fabric routes callers to other daemons: it
                   ///< checks readiness twice a second and requires two failed
                   ///< checks.
+  LoadSettings Load;                ///< Optional decisions under load.
   FailureDetectorSettings Detector; ///< Settings of the failure detector.
 };
 
--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -235,17 +235,21 @@
   if (Configuration) {
     made->Version = Configuration->Version;
     made->IdleTimeout = Configuration->IdleTimeout;
-    for (const PublishedService &service : Configuration->Services)
+    for (const PublishedService &service : Configuration->Services) {
       if (service.ColdPerSecond > 0)
         made->ColdPerSecond[service.Id] = service.ColdPerSecond;
+      if (service.MaxConnections > 0)
+        made->MaxConnections[service.Id] = service.MaxConnections;
+    }
     for (const PublishedRoute &route : Configuration->Routes) {
       Endpoint end = Endpoint::of(route.At);
       made->Routes[end] = {route.Targets, EverAllowed.at(end), route.Objective,
-                           route.Timeout, route.Idempotent};
+                           route.Timeout, route.Idempotent,    route.Priority};
     }
   }
   for (const auto &[end, dropped] : DroppedRoutes)
-    made->Routes[end] = {{}, dropped.EverAllowed, {}, {}, false};
+    made->Routes[end] = {{},    dropped.EverAllowed, {}, {},
+                         false, LowestPriority};
   return made;
 }
 
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -54,6 +54,7 @@
   Duration Objective{0};   ///< Target for answer times, as published.
   Duration Timeout{0};     ///< Timeout of callers, as published.
   bool Idempotent = false; ///< Requests may be repeated, as published.
+  uint32_t Priority = LowestPriority; ///< Zero is the most urgent.
 };
 
 /// Immutable snapshot of the configuration. Thread-safe.
@@ -63,6 +64,8 @@
   absl::flat_hash_map<ServiceId, double>
       ColdPerSecond; ///< New flows a second that a cold server can take, where
                      ///< published.
+  absl::flat_hash_map<ServiceId, uint32_t>
+      MaxConnections; ///< Flows that one server can hold open, where published.
   uint64_t Version =
       0; ///< Version number of the configuration, set by operators.
   Revision ConfigurationRevision; ///< Revision of the configuration.
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "Balsamrack/Decisions/ColdServerRateLimiter.h"
@@ -38,6 +39,9 @@
   double Load = 0;          ///< Smoothed ratio of InProgress to Share.
   double ShortTermLoad = 0; ///< Same, smoothed over about one request only.
   TimePoint LoadUpdatedAt;  ///< Last update of Load.
+  /// Mean load of the shares of all failure domains, as their daemons report;
+  /// empty while unknown.
+  std::optional<double> SiteLoad;
   Duration RequestTime{0};  ///< Smoothed time from counting a request to its
                             ///< answer; zero before the first answer.
 
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -46,6 +46,7 @@
   ar("l", m.Common.Objective);
   ar("d", m.Common.Timeout);
   ar("m", m.Common.Idempotent);
+  ar("y", m.Common.Priority);
   ar.bytes("a", m.Addresses);
 }
 
@@ -57,6 +58,7 @@
       static_cast<uint64_t>(std::llround(m.ColdPerSecond * Thousandths));
   ar("i", m.Id);
   ar("c", cold);
+  ar("n", m.MaxConnections);
   if constexpr (Ar::Reads)
     m.ColdPerSecond = static_cast<double>(cold) / Thousandths;
 }
--- a/Balsamrack/Peers/RouteGroups.cpp
+++ b/Balsamrack/Peers/RouteGroups.cpp
@@ -18,14 +18,15 @@
 
 /// All fields of a route except its address, as an ordered key.
 using CommonKey = std::tuple<std::vector<std::pair<std::string, uint32_t>>,
-                             Duration, Duration, bool>;
+                             Duration, Duration, bool, uint32_t>;
 
 CommonKey commonKeyOf(const PublishedRoute &route) {
   std::vector<std::pair<std::string, uint32_t>> targets;
   targets.reserve(route.Targets.size());
   for (const RouteTarget &it : route.Targets)
     targets.emplace_back(it.Service.str(), it.Weight);
-  return {std::move(targets), route.Objective, route.Timeout, route.Idempotent};
+  return {std::move(targets), route.Objective, route.Timeout, route.Idempotent,
+          route.Priority};
 }
 
 void appendAddress(std::string &out, const Address &address) {
--- a/Balsamrack/Published/PublishedState.h
+++ b/Balsamrack/Published/PublishedState.h
@@ -28,6 +28,9 @@
   }
 };
 
+/// Priority of a route that publishes none; a lower number is more urgent.
+constexpr uint32_t LowestPriority = 255;
+
 /// An address that callers connect to, and the targets of its new flows.
 struct PublishedRoute {
   Address At;                       ///< Address that callers connect to.
@@ -36,6 +39,7 @@
   Duration Timeout{0};     ///< Timeout of its requests; zero: not set.
   bool Idempotent = false; ///< Its requests may be executed more than once:
                            ///< callers retry them after any failure.
+  uint32_t Priority = LowestPriority; ///< Zero is the most urgent.
 };
 
 /// Operators' settings for a service, apart from its servers.
@@ -43,6 +47,8 @@
   ServiceId Id; ///< Name.
   double ColdPerSecond =
       0; ///< New flows per second that a cold server can take; zero: not set.
+  uint32_t MaxConnections =
+      0; ///< Flows that one server can hold open; zero: not set.
 };
 
 /// The operators' complete current configuration.
--- a/Balsamrack/Settings/PacketSettings.cpp
+++ b/Balsamrack/Settings/PacketSettings.cpp
@@ -42,6 +42,12 @@
   }
 }
 
+void readFlag(const json &document, const char *pointer, bool &out) {
+  const json::json_pointer at(pointer);
+  if (document.contains(at))
+    out = document.at(at).get<bool>();
+}
+
 } // namespace
 
 const char *packetSettingsSchema() {
@@ -82,6 +88,15 @@
       "type": "object", "required": ["listen"],
       "properties": {"listen": {"type": "string", "minLength": 9, "maxLength": 21}}
     },
+    "load": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "admission": {"type": "boolean"},
+        "connections": {"type": "boolean"},
+        "speeds": {"type": "boolean"},
+        "domain_demand": {"type": "boolean"}
+      }
+    },
     "shutdown": {
       "type": "object",
       "properties": {"grace_s": {"type": "number", "minimum": 0.1, "maximum": 600}}
@@ -127,6 +142,10 @@
   const json::json_pointer flows("/packets/max_flows");
   if (document.contains(flows))
     out.MaxFlows = document.at(flows).get<uint32_t>();
+  readFlag(document, "/load/admission", out.Load.Admission);
+  readFlag(document, "/load/connections", out.Load.Connections);
+  readFlag(document, "/load/speeds", out.Load.Speeds);
+  readFlag(document, "/load/domain_demand", out.Load.DomainDemand);
   const json::json_pointer grace("/shutdown/grace_s");
   if (document.contains(grace))
     out.ShutdownGrace = Duration(static_cast<int64_t>(
--- a/Balsamrack/Settings/PacketSettings.h
+++ b/Balsamrack/Settings/PacketSettings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "Balsamrack/Settings/LoadSettings.h"
 #include "Balsamrack/Settings/Settings.h"
 
 namespace balsamrack {
@@ -23,6 +24,7 @@
                           ///< none.
   Duration ShutdownGrace{6'000'000}; ///< Time from SIGTERM to SIGKILL.
   uint32_t MaxFlows = 100'000;       ///< Capacity of the flow table.
+  LoadSettings Load;                 ///< Decisions under load.
 
   /// This daemon as known to its peers: its id is its address, which is unique
   /// in the fleet at any time. Thread-safe.
--- a/UnitTests/Packets/PacketRouterHarness.h
+++ b/UnitTests/Packets/PacketRouterHarness.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 #define BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,14 +70,18 @@
                  double coldPerSecond = 0, Duration objective = Duration(0)) {
     auto made = std::make_shared<OperatorConfiguration>();
     made->Version = version;
-    if (coldPerSecond > 0)
-      made->Services = {{ServiceId("booking"), coldPerSecond}};
+    if (coldPerSecond > 0 || MaxConnections > 0)
+      made->Services = {{ServiceId("booking"), coldPerSecond, MaxConnections}};
     for (const auto &[port, service] : routes) {
       PublishedRoute route;
       route.At = {"198.18.0.1", port};
       route.Targets = {{ServiceId(service), 1}};
       route.Objective = objective;
+      route.Timeout = Timeout;
       route.Idempotent = Idempotent;
+      auto priority = Priorities.find(port);
+      if (priority != Priorities.end())
+        route.Priority = priority->second;
       made->Routes.push_back(route);
     }
     Operators = {{PublishedSection::Operators,
@@ -214,6 +219,11 @@
   bool HasAllServers = true;
   /// Whether requests of routes that are configured next may be repeated.
   bool Idempotent = true;
+  /// Timeout, priorities by port, and connection limit that are configured
+  /// next.
+  Duration Timeout{0};
+  std::map<uint16_t, uint32_t> Priorities;
+  uint32_t MaxConnections = 0;
   TimePoint Now{Duration(1'000'000)};
   SeededRandom Random;
   PacketRouter Router;
--- a/UnitTests/Peers/PeerCodecTest.cpp
+++ b/UnitTests/Peers/PeerCodecTest.cpp
@@ -170,7 +170,8 @@
                              {{ServiceId(i % 2 ? "booking" : "plans"), 1}},
                              Duration(i % 3 ? 400'000 : 1'200'000),
                              Duration(2'500'000),
-                             i % 5 != 0});
+                             i % 5 != 0,
+                             i % 3U});
   PublishedUpdate update{
       {{PublishedSection::Operators,
         {8},
@@ -203,6 +204,7 @@
     EXPECT_EQ(received[at].Objective, route.Objective);
     EXPECT_EQ(received[at].Timeout, route.Timeout);
     EXPECT_EQ(received[at].Idempotent, route.Idempotent);
+    EXPECT_EQ(received[at].Priority, route.Priority);
   }
 }
 
--- a/UnitTests/UsersPlatform/StorePagesTest.cpp
+++ b/UnitTests/UsersPlatform/StorePagesTest.cpp
@@ -16,7 +16,7 @@
 const std::string GoodServer =
     R"({"service":"huvo","address":"10.128.0.9:8080","zone":"bern-a","version":"v1","slots":2,"state":"ready","coldLeftMs":1500,"seq":4,"born":1700000000000})";
 const std::string GoodConfiguration =
-    R"({"version":7,"routes":[{"name":"r1","host":"198.18.0.1","prefix":"/8080/","type":"unsafe","timeoutMs":2000,"sloMs":200,"priority":1,"service":"huvo","maxAttempts":2},{"name":"r2","host":"198.18.0.1","prefix":"/8443/","backends":[{"service":"huvo","weight":90},{"service":"wuno","weight":10}]}],"services":[{"name":"huvo","coldS":2.0,"coldPerS":1.5}],"limits":{"idleTimeoutMs":15000}})";
+    R"({"version":7,"routes":[{"name":"r1","host":"198.18.0.1","prefix":"/8080/","type":"unsafe","timeoutMs":2000,"sloMs":200,"priority":1,"service":"huvo","maxAttempts":2},{"name":"r2","host":"198.18.0.1","prefix":"/8443/","backends":[{"service":"huvo","weight":90},{"service":"wuno","weight":10}]}],"services":[{"name":"huvo","maxConns":2000,"coldS":2.0,"coldPerS":1.5}],"limits":{"idleTimeoutMs":15000}})";
 
 std::string item(const std::string &key, const std::string &value,
                  uint64_t at) {
@@ -121,7 +121,10 @@
   EXPECT_EQ(c.Routes[1].Targets,
             (std::vector<RouteTarget>{{ServiceId("huvo"), 90},
                                       {ServiceId("wuno"), 10}}));
+  EXPECT_EQ(c.Routes[0].Priority, 1U);
+  EXPECT_EQ(c.Routes[1].Priority, LowestPriority) << "not given";
   EXPECT_DOUBLE_EQ(c.Services[0].ColdPerSecond, 1.5);
+  EXPECT_EQ(c.Services[0].MaxConnections, 2000U);
   EXPECT_EQ(c.IdleTimeout, Duration(15'000'000));
   EXPECT_EQ(std::get<DomainOutOfService>(page->Objects[1].Content).Domain.str(),
             "bern-a");
