--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -42,8 +42,8 @@
   /// Mean load of the shares of all failure domains, as their daemons report;
   /// empty while unknown.
   std::optional<double> SiteLoad;
-  Duration RequestTime{0};  ///< Smoothed time from counting a request to its
-                            ///< answer; zero before the first answer.
+  Duration RequestTime{0}; ///< Smoothed time from counting a request to its
+                           ///< answer; zero before the first answer.
 
   /// A request on a flow without packets for this long no longer counts as in
   /// progress: eight times the mean request time, within bounds. Callers that
