Admit, hold or refuse openings when a service is short of room

Cause: when half of a service's servers are lost, all requests wait in the queues of the rest, urgent ones like others, until most answers are late; full servers fail requests whose callers repeat them.

Change: with load.admission on, OpeningAdmission limits this daemon's requests in progress to its slots during a shortage, plus an allowance for the servers' queues. Other openings wait by priority, caller and time left, or are refused at once when the expected wait is too long. Only openings of which no other daemon can have a copy are refused. PacketAdmission.cpp joins it to the router and takes over the late openings from PacketRouter.cpp.

LoadedSite gave all ordinary callers one address, so the failure detector, which requires two callers, never found a lost server; and it never acknowledged an answer, so the request time stayed unknown.

--- a/Balsamrack/Decisions/LateOpenings.cpp
+++ b/Balsamrack/Decisions/LateOpenings.cpp
@@ -21,22 +21,27 @@
 Duration lateOpeningMaxWait(const OpeningTimes &times) {
   if (times.Objective == Duration{0} || times.Age < times.Objective)
     return Duration{0};
-  Duration timeout = AttemptTimeout;
-  if (times.Timeout > Duration{0})
-    timeout = std::min(timeout, times.Timeout);
-  Duration most = timeout - timeout / ReservedTimeoutDivisor;
-  return std::max(Duration{0}, most - times.Age);
+  return std::max(Duration{0}, lateOpeningMaxAge(times.Timeout) - times.Age);
+}
+
+Duration lateOpeningMaxAge(Duration timeout) {
+  Duration whole = AttemptTimeout;
+  if (timeout > Duration{0})
+    whole = std::min(whole, timeout);
+  return whole - whole / ReservedTimeoutDivisor;
+}
+
+double slotUse(Duration requestTime, Duration handshake) {
+  if (requestTime == Duration{0})
+    return 1;
+  auto whole = static_cast<double>(requestTime.count());
+  auto work = static_cast<double>(
+      (requestTime - HandshakesPerRequest * handshake).count());
+  return std::max(work / whole, MinWorkFraction);
 }
 
 bool areOwnSlotsBusy(const OwnSlotUsage &slots) {
-  double atWork = 1;
-  if (slots.RequestTime > Duration{0}) {
-    auto whole = static_cast<double>(slots.RequestTime.count());
-    auto work = static_cast<double>(
-        (slots.RequestTime - HandshakesPerRequest * slots.Handshake).count());
-    atWork = std::max(work / whole, MinWorkFraction);
-  }
-  return slots.Load * atWork >= 1;
+  return slots.Load * slotUse(slots.RequestTime, slots.Handshake) >= 1;
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Decisions/LateOpenings.h
+++ b/Balsamrack/Decisions/LateOpenings.h
@@ -29,6 +29,11 @@
 /// thread-safe.
 Duration lateOpeningMaxWait(const OpeningTimes &times);
 
+/// Age at which a late opening proceeds even if no slot is free: a quarter of
+/// the caller's attempt, or of \p timeout if that is shorter and not zero, is
+/// left. Pure, thread-safe.
+Duration lateOpeningMaxAge(Duration timeout);
+
 /// Utilisation of a daemon's share of the slots.
 struct OwnSlotUsage {
   /// Requests of this daemon in progress, divided by its slots.
@@ -38,11 +43,15 @@
   Duration Handshake{0};
 };
 
-/// True if all slots of this daemon's share are busy. A request counts as in
-/// progress for about one handshake time before it reaches the server and one
-/// after the answer has left it, but occupies a slot only in between. Without
-/// this correction, daemons with short requests far from their callers would
-/// see full slots when half of them are free. Pure, thread-safe.
+/// The part of the requests in progress that occupies a slot. A request counts
+/// as in progress for about one handshake time before it reaches the server and
+/// one after the answer has left it, but occupies a slot only in between. 1 if
+/// \p requestTime is zero. Pure, thread-safe.
+double slotUse(Duration requestTime, Duration handshake);
+
+/// True if all slots of this daemon's share are busy, corrected by slotUse().
+/// Without this correction, daemons with short requests far from their callers
+/// would see full slots when half of them are free. Pure, thread-safe.
 bool areOwnSlotsBusy(const OwnSlotUsage &slots);
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/FlowExplanation.cpp
+++ b/Balsamrack/Packets/FlowExplanation.cpp
@@ -38,6 +38,7 @@
     return explanation;
   }
   explanation.Service = *service;
+  explainAdmission(now, key, explanation);
   const ServiceEntry *of = listCandidates(now, *service, TrackedFlow());
   if (!of || Candidates.empty()) {
     explanation.Refused = PacketReason::NoServer;
@@ -55,6 +56,9 @@
   }
   if (isServiceUnreachable(*service))
     explanation.Refused = PacketReason::Unreachable;
+  else if (explanation.Admission && !explanation.Admission->Waits &&
+           explanation.Admission->Forecast.Verdict == OpeningVerdict::Refuse)
+    explanation.Refused = PacketReason::NoRoom;
   return explanation;
 }
 
--- a/Balsamrack/Packets/FlowExplanation.h
+++ b/Balsamrack/Packets/FlowExplanation.h
@@ -1,8 +1,10 @@
 #ifndef BALSAMRACK_PACKETS_FLOWEXPLANATION_H
 #define BALSAMRACK_PACKETS_FLOWEXPLANATION_H
 
+#include <optional>
 #include <vector>
 
+#include "Balsamrack/Decisions/OpeningAdmission.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Packets/PacketEvents.h"
 #include "Balsamrack/Packets/PacketFlowTable.h"
@@ -24,6 +26,26 @@
       false; ///< Among the best. A new flow goes to a random one of these.
 };
 
+/// Admission state of one service.
+struct AdmissionStatus {
+  ServiceId Service;      ///< The service.
+  AdmissionInputs Inputs; ///< State of the service.
+  bool Short = false;     ///< Room is short.
+  double Load = 0;        ///< Smoothed load of this daemon's slots.
+  double Limit = 0;       ///< Limit of the requests in progress if Short.
+  size_t Waiting = 0;     ///< Openings that wait here.
+};
+
+/// What admission does with an opening, and its inputs.
+struct ExplainedAdmission {
+  bool Waits = false;         ///< The opening waits here; otherwise the rest
+                              ///< describes a new opening of the flow.
+  Duration WaitedFor{0};      ///< If it waits: for how long.
+  uint32_t Priority = 0;      ///< Priority of the route.
+  AdmissionForecast Forecast; ///< Expected treatment.
+  AdmissionStatus Service;    ///< State of its service.
+};
+
 /// State of a flow in the router, and where a new flow would be sent now.
 struct FlowExplanation {
   bool Known =
@@ -41,6 +63,8 @@
   double OthersLoad = 0;  ///< Assumed load of other daemons' shares.
   uint64_t Version = 0;   ///< Version of the configuration in force.
   std::vector<ExplainedCandidate> Candidates; ///< In the order of the table.
+  /// Empty if LoadSettings::Admission is off or its inputs are missing.
+  std::optional<ExplainedAdmission> Admission;
 };
 
 /// Name of a stage in lower case. Thread-safe.
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -4,17 +4,17 @@
 
 const char *packetEventName(PacketEventKind kind) {
   static const char *const names[PacketEventKinds] = {
-      "placed",  "placed-again", "confirmed",     "adopted",
-      "ended",   "abandoned",    "forgotten",     "refused",
-      "dropped", "given-up",     "server-silent", "server-back"};
+      "placed",        "placed-again", "confirmed", "adopted", "ended",
+      "abandoned",     "forgotten",    "refused",   "dropped", "given-up",
+      "server-silent", "server-back",  "waited"};
   return names[static_cast<size_t>(kind)];
 }
 
 const char *packetReasonName(PacketReason reason) {
   static const char *const names[PacketReasons] = {
-      "none",        "no-route",      "no-server",     "no-answer",
-      "unreachable", "unknown-token", "foreign-token", "no-token",
-      "not-ready",   "stale",         "malformed",     "copy"};
+      "none",          "no-route",      "no-server", "no-answer", "unreachable",
+      "unknown-token", "foreign-token", "no-token",  "not-ready", "stale",
+      "malformed",     "copy",          "no-room"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -2,6 +2,7 @@
 #define BALSAMRACK_PACKETS_PACKETEVENTS_H
 
 #include <cstdint>
+#include <optional>
 
 #include "Balsamrack/Core/Ids.h"
 #include "Balsamrack/Core/Time.h"
@@ -25,9 +26,10 @@
   GivenUp,   ///< An open flow was reset: its server is dead or unreachable.
   ServerSilent, ///< A server stopped answering openings.
   ServerBack,   ///< A silent server answers again.
+  Waited,       ///< An opening was placed after it had waited for room.
 };
 /// Number of kinds.
-constexpr size_t PacketEventKinds = 12;
+constexpr size_t PacketEventKinds = 13;
 
 /// Reason for an event.
 enum class PacketReason {
@@ -44,9 +46,10 @@
   Stale,        ///< The process was paused and has not received updates since.
   Malformed,    ///< The packet could not be decoded.
   Copy,         ///< A copy of an opening that was already forwarded.
+  NoRoom,       ///< The servers have more work than they can do in time.
 };
 /// Number of reasons.
-constexpr size_t PacketReasons = 12;
+constexpr size_t PacketReasons = 13;
 
 /// Name of a kind in lower case with hyphens. Thread-safe.
 const char *packetEventName(PacketEventKind kind);
@@ -63,12 +66,20 @@
   const ServiceId *Service = nullptr; ///< Service concerned; as Server.
   uint32_t Tries = 0;      ///< Servers that the opening was sent to so far.
   uint32_t InProgress = 0; ///< Requests of this daemon in progress at the
-                           ///< server, including this one.
-  double Share = 0;        ///< Slots of the server assigned to this daemon.
+                           ///< server, including this one. NoRoom: at all
+                           ///< usable servers of the service.
+  double Share = 0;        ///< Slots of the server (NoRoom: of the service)
+                           ///< assigned to this daemon.
   double OthersLoad = 0;   ///< Assumed load of other daemons' shares.
   uint64_t Version = 0;    ///< Version of the configuration that was used.
   Duration Took{0}; ///< Confirmed, Ended, Abandoned: time since the first copy.
                     ///< Forgotten: time from the first copy to the last packet.
+                    ///< Waited: time that the opening waited here.
+  /// Refused, Waited, with LoadSettings::Admission: priority of the route.
+  std::optional<uint32_t> Priority;
+  double Limit = 0;         ///< NoRoom: limit of InProgress.
+  Duration ExpectedWait{0}; ///< NoRoom: expected time until there is room.
+  Duration MaxWait{0};      ///< NoRoom: longest wait that would be of use.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -4,8 +4,6 @@
 #include <cassert>
 #include <utility>
 
-#include "Balsamrack/Decisions/LateOpenings.h"
-
 namespace balsamrack {
 
 namespace {
@@ -32,8 +30,10 @@
 
 void PacketRouter::apply(const PacketUpdate &update) {
   assert(Routes || update.Routes);
-  if (update.Routes)
+  if (update.Routes) {
     Routes = update.Routes;
+    AreHeldOutdated = true;
+  }
   bool sharesChanged = HasAllServers != update.HasAllServers;
   HasAllServers = update.HasAllServers;
   ServerTable::Change change = Servers.apply(update);
@@ -56,6 +56,7 @@
 void PacketRouter::handlePacket(TimePoint now, const PacketHeader &head,
                                 const uint8_t *bytes, size_t n,
                                 PacketSink &out) {
+  recordCall(now);
   if (!Routes && head.Opens &&
       bufferOpening(now, head, bytes, n, Settings.RefreshWait))
     return;
@@ -89,54 +90,16 @@
                            head.Flow, NoServerIndex));
     return;
   }
-  if (queueLateOpening(now, head, bytes, n))
+  if (admit(now, head, bytes, n, out) || queueLateOpening(now, head, bytes, n))
     return;
   place(now, head, bytes, n, out);
 }
 
-bool PacketRouter::queueLateOpening(TimePoint now, const PacketHeader &head,
-                                    const uint8_t *bytes, size_t n) {
-  auto route = Routes->Routes.find(head.Flow.Service);
-  if (route == Routes->Routes.end())
-    return false;
-  Duration wait = lateOpeningMaxWait(
-      {head.Age, route->second.Objective, route->second.Timeout});
-  if (wait == Duration{0} || !areSlotsTakenFor(now, head))
-    return false;
-  BufferedOpening opening;
-  return opening.assign(head, bytes, n) && Late.push(opening, now + wait);
-}
-
-bool PacketRouter::areSlotsTakenFor(TimePoint now, const PacketHeader &head) {
-  const ServiceId *service = serviceFor(head.Flow);
-  ServiceEntry *of = service ? Servers.service(*service) : nullptr;
-  if (!of)
-    return false;
-  of->updateLoad(now);
-  return areOwnSlotsBusy({of->ShortTermLoad, of->RequestTime, Timeout.mean()});
-}
-
 bool PacketRouter::isTrackedOpening(const PacketHeader &head) {
   const TrackedFlow *flow = Flows.find(head.Flow);
   return flow && flow->FirstSequence == head.Sequence;
 }
 
-void PacketRouter::placeLateOpenings(TimePoint now, PacketSink &out) {
-  if (!Routes || Stale)
-    return;
-  // Checks each opening once; those that keep waiting stay in order.
-  for (size_t n = Late.size(); n > 0; --n) {
-    OpeningQueue::Item item = Late.pop();
-    const BufferedOpening &opening = item.Opening;
-    // A later copy may have been forwarded already.
-    if (isTrackedOpening(opening.Head))
-      continue;
-    bool waits = now < item.Deadline && areSlotsTakenFor(now, opening.Head);
-    if (!waits || !Late.push(opening, item.Deadline))
-      place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
-  }
-}
-
 bool PacketRouter::bufferOpening(TimePoint now, const PacketHeader &head,
                                  const uint8_t *bytes, size_t n,
                                  Duration most) {
@@ -283,6 +246,8 @@
     uncountRequest(flow);
     Detector.reportDelivered(flow.Server, flow.Requests.requestStartedAt());
   }
+  if (step.Data == RequestDataKind::NewRequest && !flow.IsCounted)
+    recordFlowRequest(now, flow.Server);
   if (step.Data != RequestDataKind::None)
     countRequest(now, flow, flow.Server);
   if (step.Data != RequestDataKind::Retransmission)
@@ -332,11 +297,13 @@
 }
 
 void PacketRouter::tick(TimePoint now, PacketSink &out) {
+  recordCall(now);
   updateReachability(now);
   processDueOpenings(now, Unanswered, out);
   processDueOpenings(now, LastCopies, out);
   placeBufferedOpenings(now, out);
   placeLateOpenings(now, out);
+  serveHeldOpenings(now, out);
   while (!Retransmitted.empty() &&
          now - Retransmitted.front().At > RetransmittedRetention)
     Retransmitted.pop_front();
@@ -424,6 +391,7 @@
   // so only the deadline needs a wake-up.
   if (!Late.empty() && Routes)
     next = std::min(next, Late.front().Deadline);
+  next = std::min(next, nextHeldWakeup());
   if (Routes && anyServerAcceptsNewFlows())
     next = std::min(next, Reach.nextProbeAt());
   return std::min(next, Detector.nextProbeAt());
@@ -437,9 +405,13 @@
 
 void PacketRouter::refuse(const PacketHeader &head, PacketReason why,
                           PacketSink &out) {
-  out.reset(head);
-  out.report(
-      makeEvent(PacketEventKind::Refused, why, head.Flow, NoServerIndex));
+  if (MayReset)
+    out.reset(head);
+  PacketEvent event =
+      makeEvent(MayReset ? PacketEventKind::Refused : PacketEventKind::Dropped,
+                why, head.Flow, NoServerIndex);
+  event.Priority = admissionPriority(head.Flow);
+  out.report(event);
 }
 
 void PacketRouter::countRequest(TimePoint now, TrackedFlow &flow,
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -9,10 +9,12 @@
 
 #include "Balsamrack/Core/Random.h"
 #include "Balsamrack/Decisions/FailureDetector.h"
+#include "Balsamrack/Decisions/OpeningAdmission.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Decisions/ReachMonitor.h"
 #include "Balsamrack/Packets/FleetPosition.h"
 #include "Balsamrack/Packets/FlowExplanation.h"
+#include "Balsamrack/Packets/HeldOpenings.h"
 #include "Balsamrack/Packets/OpeningQueue.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
 #include "Balsamrack/Packets/PacketFlowTable.h"
@@ -47,8 +49,9 @@
       1'500'000}; ///< Time until the fabric routes callers to other daemons: it
                   ///< checks readiness twice a second and requires two failed
                   ///< checks.
-  LoadSettings Load;                ///< Optional decisions under load.
-  FailureDetectorSettings Detector; ///< Settings of the failure detector.
+  LoadSettings Load;                  ///< Optional decisions under load.
+  OpeningAdmissionSettings Admission; ///< Used if Load.Admission is set.
+  FailureDetectorSettings Detector;   ///< Settings of the failure detector.
 };
 
 /// A connection attempt to be made in order to probe a server.
@@ -108,6 +111,13 @@
   /// Describes the state of the flow \p key and where its first opening would
   /// be sent now. Changes nothing and draws no random number.
   FlowExplanation explain(TimePoint now, const FlowKey &key);
+  /// Places all waiting openings at the next tick() and holds no further ones,
+  /// for a daemon that is about to stop.
+  void releaseOpenings() { Releasing = true; }
+  /// Number of openings that wait for room.
+  size_t heldOpenings() const { return Held.size(); }
+  /// Admission state of the services, empty if LoadSettings::Admission is off.
+  std::vector<AdmissionStatus> admissionStatus() const;
   /// Number of daemons in the fleet, as set by setFleet().
   size_t daemons() const { return Fleet.Daemons; }
   /// True when the server at \p index, or its whole failure domain, leaves
@@ -156,6 +166,28 @@
                      const uint8_t *bytes, size_t n, PacketSink &out);
   bool bufferOpening(TimePoint now, const PacketHeader &head,
                      const uint8_t *bytes, size_t n, Duration most);
+  bool admit(TimePoint now, const PacketHeader &head, const uint8_t *bytes,
+             size_t n, PacketSink &out);
+  OpeningRequest admissionRequest(const PacketHeader &head,
+                                  TimePoint arrivedAt) const;
+  OpeningAdmission *admissionFor(TimePoint now, const ServiceId &service);
+  AdmissionInputs admissionInputs(const ServiceEntry &of) const;
+  std::optional<uint32_t> admissionPriority(const FlowKey &flow) const;
+  void explainAdmission(TimePoint now, const FlowKey &flow,
+                        FlowExplanation &explanation);
+  void recordCall(TimePoint now);
+  void recordFlowRequest(TimePoint now, ServerIndex server);
+  void serveHeldOpenings(TimePoint now, PacketSink &out);
+  void serveHeldOf(TimePoint now, const ServiceId &service,
+                   OpeningAdmission &admission, PacketSink &out);
+  void decideHeldAgain(TimePoint now, PacketSink &out);
+  void endHeld(TimePoint now, const HeldOpening &held, OpeningVerdict verdict,
+               PacketSink &out);
+  void placeHeld(TimePoint now, const HeldOpening &held, PacketSink &out);
+  void refuseForRoom(TimePoint now, const PacketHeader &head,
+                     const OpeningRequest &request, const ServiceId &service,
+                     PacketSink &out);
+  TimePoint nextHeldWakeup() const;
   bool queueLateOpening(TimePoint now, const PacketHeader &head,
                         const uint8_t *bytes, size_t n);
   bool areSlotsTakenFor(TimePoint now, const PacketHeader &head);
@@ -234,6 +266,15 @@
   OpeningTimeout Timeout;   ///< Timeout for answers to openings.
   OpeningQueue Buffered;    ///< Openings waiting for routes or servers.
   OpeningQueue Late;        ///< Late openings waiting for a free slot.
+  absl::flat_hash_map<ServiceId, OpeningAdmission> Admissions;
+  HeldOpenings Held;            ///< Openings that wait in Admissions.
+  uint64_t LastHeldId = 0;      ///< Last OpeningRequest::Id.
+  bool AreHeldOutdated = false; ///< The routes have changed since.
+  bool Releasing = false;       ///< See releaseOpenings().
+  bool MayReset = true;   ///< False while an opening is placed of which another
+                          ///< daemon may have forwarded a copy.
+  TimePoint CalledAt;     ///< Time of the current or last call.
+  TimePoint CalledBefore; ///< Time of the last call at an earlier time.
   std::deque<UnansweredOpening> Unanswered; ///< Approximately ordered by Due.
   /// Last copies that wait for a reset, ordered by Due. Kept in a separate
   /// queue because they wait longer and would delay the other openings.
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -112,6 +112,8 @@
     accepting.insert(place, index);
   else if (!accepts && isListed)
     accepting.erase(place);
+  if (!accepts)
+    Servers[index].Usable = false;
 }
 
 void ServerTable::addToIndexes(ServerIndex index) {
@@ -131,6 +133,7 @@
   auto place = placeOf(accepting, index);
   if (place != accepting.end() && *place == index)
     accepting.erase(place);
+  Servers[index].Usable = false;
   std::vector<ServerIndex> &named = ByToken[server.Token];
   named.erase(std::remove(named.begin(), named.end(), index), named.end());
   if (named.empty()) {
@@ -180,7 +183,10 @@
 void ServerTable::addInProgress(ServerIndex index) {
   ServerEntry &server = Servers[index];
   ++server.InProgress;
-  ++Services[server.Backend.Published->Server.Service].InProgress;
+  ServiceEntry &service = Services[server.Backend.Published->Server.Service];
+  ++service.InProgress;
+  if (server.Usable)
+    ++service.UsableInProgress;
 }
 
 void ServerTable::removeInProgress(ServerIndex index) {
@@ -192,6 +198,8 @@
     --server.InProgress;
   if (service.InProgress > 0)
     --service.InProgress;
+  if (server.Usable && service.UsableInProgress > 0)
+    --service.UsableInProgress;
 }
 
 bool ServerTable::canTakeNewFlow(TimePoint now, ServerIndex index,
@@ -213,13 +221,18 @@
 void ServerTable::setShares(ServiceEntry &service,
                             std::vector<ServerIndex> usable,
                             const std::vector<double> &shares) {
-  for (ServerIndex index : service.AcceptingServers)
+  for (ServerIndex index : service.AcceptingServers) {
     Servers[index].Share = 0;
+    Servers[index].Usable = false;
+  }
   service.Share = 0;
+  service.UsableInProgress = 0;
   service.OwnServers.clear();
   for (size_t i = 0; i < usable.size(); ++i) {
     Servers[usable[i]].Share = shares[i];
     service.Share += shares[i];
+    Servers[usable[i]].Usable = true;
+    service.UsableInProgress += Servers[usable[i]].InProgress;
     if (shares[i] > 0)
       service.OwnServers.push_back(usable[i]);
   }
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -18,8 +18,9 @@
   bool InUse = false;    ///< False for an unused index of the table.
   RoutedBackend Backend; ///< Published state of the server.
   uint32_t InProgress =
-      0;            ///< Requests of this daemon in progress at the server.
-  double Share = 0; ///< Slots of the server assigned to this daemon.
+      0;               ///< Requests of this daemon in progress at the server.
+  double Share = 0;    ///< Slots of the server assigned to this daemon.
+  bool Usable = false; ///< Contained in ServiceEntry::UsableServers.
   ColdServerRateLimiter
       ColdStart; ///< Limits new flows while the server is cold.
 };
@@ -34,16 +35,17 @@
   std::vector<ServerIndex>
       OwnServers;        ///< Those of UsableServers with slots of this daemon.
   size_t NextSample = 0; ///< Offset of the next sample of UsableServers.
-  uint32_t InProgress = 0;  ///< Requests of this daemon at all servers.
-  double Share = 0;         ///< Slots of this daemon at all servers.
-  double Load = 0;          ///< Smoothed ratio of InProgress to Share.
+  uint32_t InProgress = 0;       ///< Requests of this daemon at all servers.
+  uint32_t UsableInProgress = 0; ///< Those at UsableServers.
+  double Share = 0;              ///< Slots of this daemon at all servers.
+  double Load = 0;               ///< Smoothed ratio of InProgress to Share.
   double ShortTermLoad = 0; ///< Same, smoothed over about one request only.
   TimePoint LoadUpdatedAt;  ///< Last update of Load.
   /// Mean load of the shares of all failure domains, as their daemons report;
   /// empty while unknown.
   std::optional<double> SiteLoad;
-  Duration RequestTime{0};  ///< Smoothed time from counting a request to its
-                            ///< answer; zero before the first answer.
+  Duration RequestTime{0}; ///< Smoothed time from counting a request to its
+                           ///< answer; zero before the first answer.
 
   /// A request on a flow without packets for this long no longer counts as in
   /// progress: eight times the mean request time, within bounds. Callers that
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -36,9 +36,10 @@
     double PerSecond = 440; ///< Requests per second of all callers.
     /// Relative rates of the domains' callers; empty: all the same.
     std::vector<double> DomainRates;
-    bool UseShares = true;         ///< Daemons know the size of the fleet.
-    bool DelayLateOpenings = true; ///< Late openings wait for free slots.
-    LoadSettings Load;             ///< Optional decisions under load.
+    bool UseShares = true;              ///< Daemons know the size of the fleet.
+    bool DelayLateOpenings = true;      ///< Late openings wait for free slots.
+    LoadSettings Load;                  ///< Optional decisions under load.
+    OpeningAdmissionSettings Admission; ///< Used if Load.Admission is set.
     Span Outage; ///< All daemons are down meanwhile, and lose their state.
     Span Burst;  ///< Callers send BurstFactor times as much.
     double BurstFactor = 1;
@@ -123,6 +124,7 @@
 private:
   static constexpr Duration Millisecond{1'000};
   static constexpr int MaxAttempts = 3;
+  static constexpr uint64_t Callers = 1000;
   static constexpr uint32_t HotCallerIp = 0x64400001;
 
   struct Event {
@@ -143,6 +145,7 @@
     bool Hot = false;
     size_t Domain = 0;
     size_t Daemon = 0;
+    uint32_t Ip = 0;
     FlowKey Key;
   };
   struct Job {
@@ -217,6 +220,7 @@
     size_t domain = domainOfDaemon(i);
     settings.Domain = DomainId(domainName(domain));
     settings.Load = Config.Load;
+    settings.Admission = Config.Admission;
     Harnesses[i] =
         std::make_unique<PacketRouterHarness>(Config.Seed * 100 + i, settings);
     PacketRouterHarness &bench = *Harnesses[i];
@@ -289,8 +293,11 @@
     uint64_t id = ++LastCall;
     size_t first = firstDaemon(call.Domain);
     call.Daemon = first + Random.below(firstDaemon(call.Domain + 1) - first);
-    uint32_t ip = call.Hot ? HotCallerIp : static_cast<uint32_t>(id >> 16) + 1;
-    call.Key = {{ip, static_cast<uint16_t>(id)},
+    // Further attempts have another port and the same address.
+    if (call.Attempt == 1)
+      call.Ip =
+          call.Hot ? HotCallerIp : 1 + static_cast<uint32_t>(id % Callers);
+    call.Key = {{call.Ip, static_cast<uint16_t>(id)},
                 {0xc6120001, call.Urgent ? UrgentPort : UsualPort}};
     Calls[id] = call;
     ByKey[call.Key] = id;
@@ -427,6 +434,7 @@
       PacketHeader head;
       head.Flow = Calls[id].Key;
       head.Acknowledges = true;
+      head.Acknowledged = 1; // The answer has arrived.
       head.Ends = true;
       if (!isWithin(Config.Outage))
         send(Calls[id].Daemon, head, id, true);
