Show waits and refusals to operators, and tune the thresholds of admission

Cause: an operator could not tell which service is short of room and why an opening waits or was refused. With the first thresholds a tenth of the urgent requests were refused or late in a shortage, and a caller with two fifths of the requests was served better than others.

Change: metrics, log fields, status, where and explain show verdicts with their inputs. Urgent openings may go above the limit by half a request per slot. One caller's openings count as 90 ms apart. The shortage begins at a load of 1.6, smoothed over 200 ms. A daemon that stops places its waiting openings, and openings are not refused after the process had no processor time. LoadedSite makes the connection attempts that the routers ask for.

--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -175,6 +175,7 @@
       break;
     std::this_thread::sleep_for(LingerPollPeriod);
   }
+  Forwarder->releaseOpenings();
   TelemetrySink.log(LogLine(Component::Daemon, Severity::Info, "stopped")
                         .millis("lingered_ms", Deps.Time.now() - began)
                         .number("packets", seen));
--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration MetricsPeriod{1'000'000};
+constexpr Duration ReleasePollPeriod{1'000};
 constexpr int64_t MicrosPerMilli = 1000;
 /// Batches received before timers are processed.
 constexpr int MaxBatchesPerIteration = 8;
@@ -87,6 +88,22 @@
   return Router.explain(Time.now(), key);
 }
 
+void PacketForwarder::releaseOpenings() {
+  {
+    std::lock_guard<std::mutex> hold(Lock);
+    Router.releaseOpenings();
+  }
+  wakeUp();
+  for (TimePoint last = Time.now() + MaxReleaseTime; Time.now() < last;) {
+    {
+      std::lock_guard<std::mutex> hold(Lock);
+      if (Router.heldOpenings() == 0)
+        return;
+    }
+    std::this_thread::sleep_for(ReleasePollPeriod);
+  }
+}
+
 ForwarderStatus PacketForwarder::status() {
   std::lock_guard<std::mutex> hold(Lock);
   return {Router.routes() ? Router.routes()->Version : 0,
@@ -94,7 +111,9 @@
           Router.daemons(),
           Router.silentServers(),
           Router.servers().size(),
-          Router.hasAllServers()};
+          Router.hasAllServers(),
+          Router.heldOpenings(),
+          Router.admissionStatus()};
 }
 
 std::vector<ForwarderServerStatus> PacketForwarder::servers() {
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "Balsamrack/Daemon/PacketTelemetry.h"
 #include "Balsamrack/Packets/ConnectionProber.h"
@@ -23,6 +24,8 @@
   size_t SilentServers = 0;   ///< Silent individually, not as a domain.
   size_t Servers = 0;         ///< Servers that are known.
   bool HasAllServers = true;  ///< See PacketUpdate.
+  size_t WaitingOpenings = 0; ///< Openings that wait for room.
+  std::vector<AdmissionStatus> Admission; ///< See PacketRouter.
 };
 
 /// State of one backend server in a PacketForwarder.
@@ -53,6 +56,10 @@
   /// callers retransmit after 200 ms, and stale state is better than none.
   static constexpr Duration MaxStaleTime{150'000};
 
+  /// An idle thread handles the release within microseconds; one without
+  /// processor time must not use up the grace time.
+  static constexpr Duration MaxReleaseTime{200'000};
+
   /// Called on the forwarder's thread when it detects that it was paused.
   using OnPause = std::function<void()>;
 
@@ -75,6 +82,9 @@
   void setFresh();
   /// See PacketRouter.
   FlowExplanation explain(const FlowKey &key);
+  /// Places all waiting openings and holds no further ones. Returns when none
+  /// waits, at the latest after MaxReleaseTime.
+  void releaseOpenings();
   /// Returns the current state.
   ForwarderStatus status();
   /// Returns all servers in the router's table.
--- a/Balsamrack/Daemon/PacketOperatorHandler.cpp
+++ b/Balsamrack/Daemon/PacketOperatorHandler.cpp
@@ -31,9 +31,52 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
-/// Describes the flow table's entry for a flow.
+json describeAdmissionStatus(const AdmissionStatus &status) {
+  json entry = {{"service", status.Service.str()},
+                {"short_of_room", status.Short},
+                {"load", status.Load},
+                {"slots", status.Inputs.Slots},
+                {"in_progress", status.Inputs.InProgress},
+                {"limit", status.Limit},
+                {"request_ms", millis(status.Inputs.RequestTime)},
+                {"waiting", status.Waiting}};
+  if (status.Inputs.SiteLoad)
+    entry["site_load"] = *status.Inputs.SiteLoad;
+  return entry;
+}
+
+/// Describes what an opening waits for, or what a new one would get.
+json describeAdmission(const ExplainedAdmission &it) {
+  const AdmissionStatus &service = it.Service;
+  std::string subject =
+      it.Waits ? absl::StrCat("the opening has waited for room for ",
+                              millis(it.WaitedFor).dump(), " ms")
+               : absl::StrCat("a new opening: ",
+                              openingVerdictName(it.Forecast.Verdict));
+  json entry = sentence(absl::StrFormat(
+      "%s; priority %u, %d ahead, expected wait %s ms, at most %s ms of use; "
+      "%s: %s, load %.2f, %u in progress of %.2f on %.2f slots, %d waiting",
+      subject, it.Priority, it.Forecast.Ahead,
+      millis(it.Forecast.ExpectedWait).dump(),
+      millis(it.Forecast.MaxWait).dump(), service.Service.str(),
+      service.Short ? "short of room" : "enough room", service.Load,
+      service.Inputs.InProgress, service.Limit, service.Inputs.Slots,
+      service.Waiting));
+  entry["waits"] = it.Waits;
+  entry["verdict"] = openingVerdictName(it.Forecast.Verdict);
+  entry["priority"] = it.Priority;
+  entry["ahead"] = it.Forecast.Ahead;
+  entry["expected_wait_ms"] = millis(it.Forecast.ExpectedWait);
+  entry["max_wait_ms"] = millis(it.Forecast.MaxWait);
+  entry["admission"] = describeAdmissionStatus(service);
+  return entry;
+}
+
+/// Describes a waiting opening, or the flow table's entry for a flow.
 json describeFlow(const FlowExplanation &explanation) {
   json all = json::array();
+  if (explanation.Admission && explanation.Admission->Waits)
+    all.push_back(describeAdmission(*explanation.Admission));
   if (!explanation.Known)
     return all;
   json entry = sentence(absl::StrCat(
@@ -77,6 +120,8 @@
     entry["reason"] = packetReasonName(explanation.Refused);
     all.push_back(entry);
   }
+  if (explanation.Admission)
+    all.push_back(describeAdmission(*explanation.Admission));
   for (bool best : {true, false})
     for (const ExplainedCandidate &it : explanation.Candidates)
       if (it.Best == best)
@@ -107,6 +152,9 @@
 
 OperatorReply PacketOperatorHandler::status() const {
   ForwarderStatus now = Forwarder.status();
+  json admission = json::array();
+  for (const AdmissionStatus &it : now.Admission)
+    admission.push_back(describeAdmissionStatus(it));
   return successReply({{"vm", Settings.Name},
                        {"failure_domain", Settings.Domain.str()},
                        {"version", BALSAMRACK_VERSION},
@@ -115,7 +163,9 @@
                        {"daemons", now.Daemons},
                        {"silent_servers", now.SilentServers},
                        {"servers", now.Servers},
-                       {"all_servers_known", now.HasAllServers}});
+                       {"all_servers_known", now.HasAllServers},
+                       {"openings_waiting", now.WaitingOpenings},
+                       {"admission", admission}});
 }
 
 OperatorReply PacketOperatorHandler::servers() const {
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -19,6 +19,16 @@
     "balsamrack_flow_seconds",
     "From a flow's first packet to its caller's end of it.",
     MetricKind::Summary};
+constexpr MetricFamily OpeningWait{
+    "balsamrack_opening_wait_seconds",
+    "Wait for room of openings that were then placed, by priority.",
+    MetricKind::Summary};
+constexpr MetricFamily OpeningsWaiting{"balsamrack_openings_waiting",
+                                       "Openings that wait for room.",
+                                       MetricKind::Gauge};
+constexpr MetricFamily OpeningsRefused{
+    "balsamrack_openings_refused_total",
+    "Openings that were reset, by reason and priority.", MetricKind::Counter};
 constexpr MetricFamily Packets{"balsamrack_packets",
                                "Packets since the start, by direction.",
                                MetricKind::Gauge};
@@ -64,7 +74,7 @@
 }
 
 bool isOrdinary(PacketEventKind kind) {
-  return kind == PacketEventKind::Placed ||
+  return kind == PacketEventKind::Placed || kind == PacketEventKind::Waited ||
          kind == PacketEventKind::Confirmed ||
          kind == PacketEventKind::Adopted || kind == PacketEventKind::Ended;
 }
@@ -75,7 +85,8 @@
     : Log(log), Registry(Metrics::create(clock)) {}
 
 bool PacketTelemetry::isLogged(const PacketEvent &event) {
-  if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed)
+  if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed ||
+      event.Kind == PacketEventKind::Waited)
     return true;
   uint64_t hash =
       combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
@@ -83,6 +94,18 @@
   return hash % FlowLogInterval == 0;
 }
 
+void PacketTelemetry::countAdmission(const PacketEvent &event) {
+  if (!event.Priority)
+    return;
+  std::string priority = std::to_string(*event.Priority);
+  if (event.Kind == PacketEventKind::Waited)
+    Registry->observe(OpeningWait, {{"priority", priority}}, event.Took);
+  if (event.Kind == PacketEventKind::Refused)
+    Registry->count(
+        OpeningsRefused,
+        {{"reason", packetReasonName(event.Reason)}, {"priority", priority}});
+}
+
 void PacketTelemetry::recordEvent(const PacketEvent &event) {
   const char *kind = packetEventName(event.Kind);
   const char *why = packetReasonName(event.Reason);
@@ -92,6 +115,7 @@
   if (event.Kind == PacketEventKind::Ended)
     Registry->observe(FlowTime, {{"service", event.Service->str()}},
                       event.Took);
+  countAdmission(event);
   if (!isLogged(event))
     return;
   LogLine line(Component::Entry,
@@ -101,13 +125,21 @@
     line.text("flow", event.Flow.Caller.str() + ">" + event.Flow.Service.str());
   if (event.Reason != PacketReason::None)
     line.text("reason", why);
-  if (event.Server) {
+  if (event.Server)
     line.text("server", event.Server->str());
+  if (event.Service) {
     line.text("service", event.Service->str());
     line.number("in_progress", event.InProgress);
     line.decimal("share", event.Share);
     line.decimal("others_load", event.OthersLoad);
   }
+  if (event.Priority)
+    line.number("priority", *event.Priority);
+  if (event.Reason == PacketReason::NoRoom) {
+    line.decimal("limit", event.Limit);
+    line.millis("expected_wait_ms", event.ExpectedWait);
+    line.millis("max_wait_ms", event.MaxWait);
+  }
   if (event.Tries > 0)
     line.number("tries", event.Tries);
   if (event.Took > Duration{0})
@@ -136,6 +168,9 @@
   Registry->set(Flows, {}, static_cast<double>(router.flows()));
   Registry->set(SilentServers, {}, static_cast<double>(router.silentServers()));
   Registry->set(OpeningTimeoutSeconds, {}, seconds(router.openingTimeout()));
+  for (const AdmissionStatus &it : router.admissionStatus())
+    Registry->set(OpeningsWaiting, {{"service", it.Service.str()}},
+                  static_cast<double>(it.Waiting));
 }
 
 void PacketTelemetry::setPeerMetrics(const DatagramCounters &peers,
--- a/Balsamrack/Daemon/PacketTelemetry.h
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -52,6 +52,7 @@
 
 private:
   void setMessageMetrics(const char *direction, const MessageCounts &counts);
+  void countAdmission(const PacketEvent &event);
   static bool isLogged(const PacketEvent &event);
 
   EventLog &Log;
--- a/Balsamrack/Decisions/OpeningAdmission.cpp
+++ b/Balsamrack/Decisions/OpeningAdmission.cpp
@@ -22,6 +22,8 @@
 /// Bound of the lead of a caller's virtual arrival, so that a caller who was
 /// alone is not set back for long when others arrive.
 constexpr Duration MaxCallerLead{1'000'000};
+/// Openings of a priority count from this rate a second.
+constexpr double MinOtherArrivals = 0.5;
 /// Bound of the time for which a fractional place stays taken.
 constexpr Duration MaxPartInterval{1'000'000};
 
@@ -85,8 +87,23 @@
          slotUse(Inputs.RequestTime, Inputs.Handshake);
 }
 
-bool OpeningAdmission::hasRoom(TimePoint now) const {
-  double most = limit();
+bool OpeningAdmission::isUrgent(TimePoint now, const Entry &entry) const {
+  return !entry.Late &&
+         std::any_of(Arrivals.begin(), Arrivals.end(), [&](const auto &it) {
+           return it.first > entry.Opening.Priority &&
+                  it.second.perSecond(now, Settings) >= MinOtherArrivals;
+         });
+}
+
+double OpeningAdmission::limitFor(TimePoint now, const Entry &entry) const {
+  if (!isUrgent(now, entry))
+    return limit();
+  return limit() *
+         (1 + Settings.UrgentQueuePerSlot / (1 + Settings.QueuePerSlot));
+}
+
+bool OpeningAdmission::hasRoom(TimePoint now, const Entry &entry) const {
+  double most = limitFor(now, entry);
   if (Inputs.InProgress + 1 <= most)
     return true;
   // A share of less than one request, or a fractional part of it, is used for
@@ -94,8 +111,8 @@
   return Inputs.InProgress < most && now >= PartFreeAt;
 }
 
-void OpeningAdmission::recordPlaced(TimePoint now) {
-  double most = limit();
+void OpeningAdmission::recordPlaced(TimePoint now, const Entry &entry) {
+  double most = limitFor(now, entry);
   double part = most - std::floor(most);
   if (Inputs.InProgress + 1 <= most || part <= 0)
     return;
@@ -153,15 +170,15 @@
 
 Duration OpeningAdmission::expectedWait(TimePoint now, const Entry &entry,
                                         size_t ahead) const {
-  if (!Short || (ahead == 0 && hasRoom(now)))
+  if (!Short || (ahead == 0 && hasRoom(now, entry)))
     return Duration{0};
-  double most = limit();
+  double most = limitFor(now, entry);
   double over = std::max(0.0, Inputs.InProgress + 1 - most);
   double time = static_cast<double>(Inputs.RequestTime.count());
   double rate =
       most * MicrosPerSecond / time - FlowRequests.perSecond(now, Settings);
-  for (const auto &[priority, arrivals] : Arrivals)
-    if (entry.Late || priority < entry.Opening.Priority)
+  for (const auto &[other, arrivals] : Arrivals)
+    if (entry.Late || other < entry.Opening.Priority)
       rate -= arrivals.perSecond(now, Settings);
   double work = static_cast<double>(ahead) + over;
   if (rate * static_cast<double>(MaxExpectedWait.count()) <=
@@ -172,7 +189,7 @@
 
 OpeningVerdict OpeningAdmission::verdictFor(TimePoint now, const Entry &entry,
                                             size_t ahead, Duration wait) const {
-  if (!Short || (ahead == 0 && hasRoom(now)))
+  if (!Short || (ahead == 0 && hasRoom(now, entry)))
     return OpeningVerdict::Place;
   if (now <= entry.Opening.RefusableUntil)
     return now + wait > entry.Deadline ? OpeningVerdict::Refuse
@@ -220,7 +237,7 @@
   Entry entry = makeEntry(now, opening);
   chargeCaller(now, entry);
   if (verdict == OpeningVerdict::Place)
-    recordPlaced(now);
+    recordPlaced(now, entry);
   else
     insert(std::move(entry));
   return verdict;
@@ -240,12 +257,12 @@
 
 void OpeningAdmission::insert(Entry entry) {
   // Of one caller's openings, the one with the least time left has the first
-  // turn.
-  for (Entry &it : Queue)
-    if (it.Opening.Caller == entry.Opening.Caller && it.Late == entry.Late &&
-        it.Opening.Priority == entry.Opening.Priority &&
-        it.LeastLeft > entry.LeastLeft && it.VirtualAt < entry.VirtualAt)
-      std::swap(it.VirtualAt, entry.VirtualAt);
+  // turn. From the last to the first, so that the others keep their order.
+  for (auto it = Queue.rbegin(); it != Queue.rend(); ++it)
+    if (it->Opening.Caller == entry.Opening.Caller && it->Late == entry.Late &&
+        it->Opening.Priority == entry.Opening.Priority &&
+        it->LeastLeft > entry.LeastLeft && it->VirtualAt < entry.VirtualAt)
+      std::swap(it->VirtualAt, entry.VirtualAt);
   Queue.push_back(std::move(entry));
   std::stable_sort(Queue.begin(), Queue.end(), goesBefore);
   if (Queue.size() <= Settings.MaxWaiting)
@@ -262,7 +279,7 @@
   Ended ended{opening.Id, verdict};
   auto next = NextVirtual.find(opening.Caller);
   if (verdict == OpeningVerdict::Place)
-    recordPlaced(now);
+    recordPlaced(now, Queue[index]);
   else if (next != NextVirtual.end())
     next->second -= CallerInterval;
   Queue.erase(Queue.begin() + static_cast<std::ptrdiff_t>(index));
@@ -278,7 +295,7 @@
   }
   if (Queue.empty())
     return std::nullopt;
-  if (!Short || hasRoom(now))
+  if (!Short || hasRoom(now, Queue.front()))
     return removeAt(now, 0, OpeningVerdict::Place);
   auto due = nextWakeup();
   if (now - ReviewedAt < ReviewInterval && due && now < *due)
--- a/Balsamrack/Decisions/OpeningAdmission.h
+++ b/Balsamrack/Decisions/OpeningAdmission.h
@@ -15,23 +15,35 @@
 /// Thresholds of OpeningAdmission. Loads are requests that occupy or wait for
 /// a slot, divided by this daemon's slots.
 struct OpeningAdmissionSettings {
-  /// Time constant of the load that decides whether room is short: several
-  /// requests long, so that random peaks of a small share do not count, and
-  /// shorter than the shortest objective, so that queues stay short of it.
-  Duration LoadSmoothing{300'000};
-  /// A shortage begins at this load: a quarter of all requests wait.
-  double ShortageLoad = 1.25;
-  /// A shortage ends below this load, when no opening waits.
-  double EnoughLoad = 0.9;
+  /// Time constant of the load that decides whether room is short, and of the
+  /// arrival rates: several requests long, so that random peaks of a small
+  /// share do not count. With 300 ms, 3 points less of a burst of 300 ms are in
+  /// time.
+  Duration LoadSmoothing{200'000};
+  /// A shortage begins at this load. With 1.25, five times as many openings are
+  /// refused at 85% of the capacity, where random peaks of a share of two slots
+  /// reach it.
+  double ShortageLoad = 1.6;
+  /// A shortage ends below this load, when no opening waits. Lasting overload
+  /// keeps the load close to 1 + QueuePerSlot.
+  double EnoughLoad = 1.1;
   /// Mean load of all failure domains below which there is no shortage.
   double CalmSiteLoad = 0.85;
   /// Admitted requests beyond the slots, per slot. They wait in the servers'
   /// queues for about one request time and keep slots busy while this daemon's
   /// share is a few slots only and other daemons' shares are used unevenly.
+  /// With 0.5, 2 points less are in time at 95% of the capacity; with 1.5, 3
+  /// points less during overload.
   double QueuePerSlot = 1;
+  /// Further allowance for openings that are more urgent than others that
+  /// arrive. With a share of one or two slots, a request ends only every 20 to
+  /// 30 ms; when half of the servers are lost, 9 points less of them are in
+  /// time without it.
+  double UrgentQueuePerSlot = 0.5;
   /// Part of the time left until the objective that an opening may wait. A
   /// caller makes three attempts, and a later one does not say how much of the
-  /// objective the earlier ones have used.
+  /// objective the earlier ones have used. With 1, 9 to 18 points less are in
+  /// time during overload.
   double WaitPart = 1.0 / 3;
   /// Capacity of the queue.
   size_t MaxWaiting = 512;
@@ -94,8 +106,8 @@
 ///
 /// Callers take turns by virtual arrival times (start-time fair queueing:
 /// Goyal, Vin, Cheng 1996): an opening counts as having arrived at least
-/// CallerInterval after the previous one of its caller. A caller with a hundred
-/// openings is served like others who keep arriving for two seconds, and is not
+/// CallerInterval after the previous one of its caller. The lead is bounded, so
+/// that a caller who was alone is not set back for long, and is not
 /// starved. Not thread-safe.
 class OpeningAdmission {
 public:
@@ -103,10 +115,12 @@
   /// daemon, which places it. Until 20 ms before that an opening that was not
   /// forwarded can be refused.
   static constexpr Duration RefusalPeriod{180'000};
-  /// Distance of the virtual arrivals of one caller's openings. A tenth of the
-  /// refusal period: of one caller's simultaneous openings, about ten compete
-  /// with others that arrive while these wait.
-  static constexpr Duration CallerInterval{18'000};
+  /// Distance of the virtual arrivals of one caller's openings. Half of the
+  /// refusal period, since most waits are shorter: a caller's second
+  /// simultaneous opening goes after almost all others that wait. With 18 ms, 7
+  /// points less of the others' requests are in time beside a caller with 40%
+  /// of all requests.
+  static constexpr Duration CallerInterval{90'000};
 
   explicit OpeningAdmission(const OpeningAdmissionSettings &settings = {})
       : Settings(settings) {}
@@ -176,11 +190,13 @@
   Duration answerTime(Duration objective) const;
   Entry makeEntry(TimePoint now, const OpeningRequest &opening) const;
   void setLateness(TimePoint now, Entry &entry) const;
-  bool hasRoom(TimePoint now) const;
+  bool isUrgent(TimePoint now, const Entry &entry) const;
+  double limitFor(TimePoint now, const Entry &entry) const;
+  bool hasRoom(TimePoint now, const Entry &entry) const;
   Duration expectedWait(TimePoint now, const Entry &entry, size_t ahead) const;
   OpeningVerdict verdictFor(TimePoint now, const Entry &entry, size_t ahead,
                             Duration wait) const;
-  void recordPlaced(TimePoint now);
+  void recordPlaced(TimePoint now, const Entry &entry);
   void chargeCaller(TimePoint now, const Entry &entry);
   void insert(Entry entry);
   std::optional<Ended> review(TimePoint now);
--- a/Balsamrack/Packets/HeldOpenings.cpp
+++ b/Balsamrack/Packets/HeldOpenings.cpp
@@ -9,7 +9,7 @@
   IdByFlow[opening.Opening.Head.Flow] = opening.Id;
 }
 
-const HeldOpening *HeldOpenings::find(const FlowKey &flow) const {
+HeldOpening *HeldOpenings::find(const FlowKey &flow) {
   auto it = IdByFlow.find(flow);
   return it == IdByFlow.end() ? nullptr : &ById.at(it->second);
 }
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -27,7 +27,7 @@
   /// Adds an opening. Precondition: its id is new.
   void add(const HeldOpening &opening);
   /// The opening of \p flow; null for none.
-  const HeldOpening *find(const FlowKey &flow) const;
+  HeldOpening *find(const FlowKey &flow);
   /// Removes and returns the opening with \p id; nothing if there is none.
   std::optional<HeldOpening> take(uint64_t id);
   /// Number of openings.
--- a/Balsamrack/Packets/PacketAdmission.cpp
+++ b/Balsamrack/Packets/PacketAdmission.cpp
@@ -68,11 +68,13 @@
 
 bool PacketRouter::admit(TimePoint now, const PacketHeader &head,
                          const uint8_t *bytes, size_t n, PacketSink &out) {
-  if (const HeldOpening *held = Held.find(head.Flow)) {
+  if (HeldOpening *held = Held.find(head.Flow)) {
     OpeningAdmission &admission = Admissions.at(held->Service);
     if (held->Opening.Head.Sequence == head.Sequence) {
-      if (head.CopyNumber > 0)
+      if (head.CopyNumber > 0) {
         admission.setNotRefusable(held->Id);
+        held->RefusableUntil = {};
+      }
       return true;
     }
     // A new flow on the same ports; its caller has given up the earlier one.
@@ -130,6 +132,8 @@
 void PacketRouter::placeHeld(TimePoint now, const HeldOpening &held,
                              PacketSink &out) {
   PacketHeader head = held.Opening.Head;
+  if (Flows.find(head.Flow))
+    return;
   head.Age += now - held.ArrivedAt;
   MayReset = now <= held.RefusableUntil;
   place(now, head, held.Opening.Packet.data(), held.Opening.Bytes, out);
@@ -147,6 +151,9 @@
 void PacketRouter::endHeld(TimePoint now, const HeldOpening &held,
                            OpeningVerdict verdict, PacketSink &out) {
   const PacketHeader &head = held.Opening.Head;
+  // While the routes were outdated, a copy was buffered and then placed.
+  if (Flows.find(head.Flow))
+    return;
   if (verdict == OpeningVerdict::Place) {
     placeHeld(now, held, out);
   } else if (verdict == OpeningVerdict::Refuse) {
--- a/UnitTests/Packets/AdmissionLoadTest.cpp
+++ b/UnitTests/Packets/AdmissionLoadTest.cpp
@@ -81,26 +81,31 @@
   options.ShedWhenFull = true;
   // The lost servers are found within half a second.
   Comparison result = compare(options, {3 * Second / 2, 5 * Second});
-  double capacity = 3 * 3.5 * CapacityPerSecond / 2;
-  EXPECT_GT(result.Admission.All.InTime, .8 * capacity);
-  EXPECT_GT(result.Admission.Urgent.InTime,
-            .85 * result.Admission.Urgent.Asked);
-  EXPECT_GT(result.Admission.worth(), 1.2 * result.Baseline.worth());
+  const Comparison::Sums &with = result.Admission;
+  EXPECT_GT(with.All.InTime, .9 * 3 * 3.5 * CapacityPerSecond / 2);
+  EXPECT_GT(with.Urgent.InTime, .95 * with.Urgent.Asked);
+  EXPECT_LT(with.Sheds, result.Baseline.Sheds / 10);
+  EXPECT_GT(with.worth(), 1.7 * result.Baseline.worth());
 }
 
-// Guards against a caller with a third of all requests who takes the place of
-// those with a single one.
+// Guards against a caller with two fifths of all requests who takes the room of
+// the others. These ask for 1.4 * .6 = 84% of the capacity; when the caller
+// gets as much of it as they do, 1 / 1.4 = 71% of theirs are in time.
 TEST(AdmissionLoadTest, AHotCallerDoesNotDisplaceOthers) {
   LoadedSite::Options options;
   options.PerSecond = 1.4 * CapacityPerSecond;
   options.HotCallerPart = .4;
   options.ShedWhenFull = true;
   Comparison result = compare(options, {1 * Second, 5 * Second});
-  EXPECT_GT(result.Admission.worth(), result.Baseline.worth());
+  const Comparison::Sums &with = result.Admission;
+  int others = with.All.Asked - with.HotCaller.Asked;
+  EXPECT_GT(with.All.InTime - with.HotCaller.InTime, .75 * others);
+  EXPECT_GT(with.All.InTime, .85 * 3 * 4 * CapacityPerSecond);
+  EXPECT_GT(with.worth(), 1.5 * result.Baseline.worth());
 }
 
-// Guards against a shortage that is still assumed after a burst, and against
-// refusals of work that could be done after it.
+// Guards against overload whose queues outlast a burst, and against refusals
+// after it. The burst of a second asks for 1.5 times the capacity.
 TEST(AdmissionLoadTest, ABurstThatEnds) {
   LoadedSite::Options options;
   options.PerSecond = .5 * CapacityPerSecond;
@@ -108,20 +113,37 @@
   options.BurstFactor = 3;
   options.UrgentPart = .2;
   options.ShedWhenFull = true;
-  compare(options, {1 * Second, 2 * Second});
-  compare(options, {2 * Second + Second / 2, 4 * Second});
+  Comparison during = compare(options, {1 * Second, 2 * Second});
+  EXPECT_GT(during.Admission.All.InTime, .85 * 3 * CapacityPerSecond);
+  EXPECT_GT(during.Admission.worth(), 1.3 * during.Baseline.worth());
+  Comparison after = compare(options, {5 * Second / 2, 4 * Second});
+  EXPECT_EQ(after.Admission.All.InTime, after.Admission.All.Asked);
 }
 
 // Guards against openings that wait or are refused though there is enough room.
 TEST(AdmissionLoadTest, CalmLoadIsServedAsBefore) {
-  for (double load : {.5, .7, .85}) {
+  for (double load : {.5, .7}) {
     LoadedSite::Options options;
     options.PerSecond = load * CapacityPerSecond;
     options.ShedWhenFull = true;
     options.UrgentPart = .2;
-    compare(options, {1 * Second, 6 * Second});
+    Comparison result = compare(options, {1 * Second, 6 * Second});
+    EXPECT_EQ(result.Admission.All.Asked, result.Baseline.All.Asked);
+    EXPECT_EQ(result.Admission.All.InTime, result.Baseline.All.InTime);
+    EXPECT_EQ(result.Admission.Refused, 0);
   }
 }
 
+// Close to the capacity a share of three slots is short at times while other
+// daemons have room. Guards against refusals that cost more than one request in
+// a hundred there.
+TEST(AdmissionLoadTest, HighLoadIsServedAlmostAsBefore) {
+  LoadedSite::Options options;
+  options.PerSecond = .85 * CapacityPerSecond;
+  options.ShedWhenFull = true;
+  Comparison result = compare(options, {1 * Second, 6 * Second});
+  EXPECT_GT(result.Admission.All.InTime, .99 * result.Admission.All.Asked);
+}
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -245,12 +245,29 @@
   }
   void tickAll() {
     ServerSink wire(*this);
-    for (auto &bench : Harnesses)
-      if (!isWithin(Config.Outage))
-        bench->Router.tick(Now, wire);
+    for (size_t i = 0; i < Harnesses.size(); ++i)
+      if (!isWithin(Config.Outage)) {
+        Harnesses[i]->Router.tick(Now, wire);
+        startAttempts(i);
+      }
     if (Now < Until)
       schedule(Now + Millisecond * 5, [this] { tickAll(); });
   }
+  /// Starts the connection attempts that a daemon makes to probe servers.
+  void startAttempts(size_t daemon) {
+    for (const ConnectionAttempt &it :
+         Harnesses[daemon]->Router.dueAttempts(Now)) {
+      bool lost = isLost(Harnesses[daemon]->tagAt(it.Server) - 1);
+      schedule(
+          Now + (lost ? it.Timeout : Millisecond), [this, daemon, it, lost] {
+            ServerSink wire(*this);
+            Harnesses[daemon]->Router.handleAttemptResult(
+                Now, it.Server,
+                lost ? ConnectionResult::Failed : ConnectionResult::Connected,
+                wire);
+          });
+    }
+  }
   void nextCaller() {
     startCall(newCall());
     double rate =
