--- a/Balsamrack/Decisions/OpeningAdmission.cpp
+++ b/Balsamrack/Decisions/OpeningAdmission.cpp
@@ -239,7 +239,7 @@
   if (verdict == OpeningVerdict::Place)
     recordPlaced(now, entry);
   else
-    insert(std::move(entry));
+    insert(entry);
   return verdict;
 }
 
@@ -263,7 +263,7 @@
         it->Opening.Priority == entry.Opening.Priority &&
         it->LeastLeft > entry.LeastLeft && it->VirtualAt < entry.VirtualAt)
       std::swap(it->VirtualAt, entry.VirtualAt);
-  Queue.push_back(std::move(entry));
+  Queue.push_back(entry);
   std::stable_sort(Queue.begin(), Queue.end(), goesBefore);
   if (Queue.size() <= Settings.MaxWaiting)
     return;
