Measure server speeds and eject slow servers in the packet router

Cause: all servers of a service get the same load, whatever their speed, and a server that becomes 3 to 8 times slower while its health is good keeps getting a flow for each slot that becomes free.

Change: with the switch `speeds`, the router takes samples from requests that found a free slot. ServerSpeeds estimates each server's speed, which enters the cost of a candidate; SlowServerEjection ejects a server that is much slower than its peers, also by requests that are still unanswered, and returns it by probes. LoadedSite's callers acknowledge the answer when they close, as callers do; without it no request was answered as far as a daemon could see.

Still open: at 1.3 times the capacity, servers are ejected although all are equal. 203 tests of the packet carrier pass; the full test program was not run.

--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -109,7 +109,8 @@
     const BackendServer &what = it.Backend.Published->Server;
     all.push_back({what.Id, what.Service, what.Domain, what.At,
                    modeName(it.Backend), it.InProgress, it.Share,
-                   Router.isSilent(i), now < it.Backend.ColdUntil});
+                   Router.isSilent(i), now < it.Backend.ColdUntil,
+                   Router.speedOf(i)});
   }
   return all;
 }
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -37,6 +37,7 @@
   double Share = 0;        ///< This daemon's share of the server's slots.
   bool Silent = false;     ///< The server or its domain doesn't answer.
   bool Cold = false;       ///< Recently started and still warming up.
+  ServerSpeed Speed;       ///< Measured speed; whether it is ejected as slow.
 };
 
 /// Receives callers' packets and forwards them to backend servers, on a thread
--- a/Balsamrack/Daemon/PacketOperatorHandler.cpp
+++ b/Balsamrack/Daemon/PacketOperatorHandler.cpp
@@ -53,8 +53,9 @@
 
 json describeCandidate(const ExplainedCandidate &it) {
   std::string why = absl::StrFormat(
-      "%s: expected wait %.3f, %u in progress of ours, share %.2f, rank %s%s%s",
-      it.Server.str(), it.Wait, it.InProgress, it.Share,
+      "%s: expected wait %.3f, %u in progress of ours, share %.2f, speed %.2f, "
+      "rank %s%s%s",
+      it.Server.str(), it.Wait, it.InProgress, it.Share, it.Speed,
       openingRankName(it.Rank), it.Near ? "" : ", in another failure domain",
       it.Cold ? ", cold" : "");
   if (it.Best)
@@ -64,6 +65,7 @@
   entry["best"] = it.Best;
   entry["wait"] = it.Wait;
   entry["rank"] = openingRankName(it.Rank);
+  entry["speed"] = it.Speed;
   return entry;
 }
 
@@ -129,7 +131,10 @@
                    {"in_progress", it.InProgress},
                    {"share", it.Share},
                    {"ejected", it.Silent},
-                   {"warm", !it.Cold}});
+                   {"warm", !it.Cold},
+                   {"speed", it.Speed.Speed},
+                   {"samples", it.Speed.Samples},
+                   {"slow", it.Speed.State == SlowServerState::Ejected}});
   return successReply({{"vm", Settings.Name}, {"servers", all}});
 }
 
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -27,6 +27,9 @@
 constexpr MetricFamily SilentServers{"balsamrack_silent_servers",
                                      "Servers that leave openings unanswered.",
                                      MetricKind::Gauge};
+constexpr MetricFamily EjectedServers{"balsamrack_ejected_servers",
+                                      "Servers that are ejected as slow.",
+                                      MetricKind::Gauge};
 constexpr MetricFamily OpeningTimeoutSeconds{
     "balsamrack_opening_timeout_seconds",
     "Wait for an opening's answer before another server gets it.",
@@ -112,6 +115,8 @@
     line.number("tries", event.Tries);
   if (event.Took > Duration{0})
     line.millis("took_ms", event.Took);
+  if (event.SlowRatio > 0)
+    line.decimal("slow_ratio", event.SlowRatio);
   line.number("configuration", event.Version);
   Log.write(line);
 }
@@ -135,6 +140,8 @@
   set("send-failed", socket.SendFailed);
   Registry->set(Flows, {}, static_cast<double>(router.flows()));
   Registry->set(SilentServers, {}, static_cast<double>(router.silentServers()));
+  Registry->set(EjectedServers, {},
+                static_cast<double>(router.ejectedServers()));
   Registry->set(OpeningTimeoutSeconds, {}, seconds(router.openingTimeout()));
 }
 
--- a/Balsamrack/Decisions/OpeningChoice.cpp
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -39,6 +39,8 @@
 
 double openingCost(const OpeningCandidate &candidate, double othersLoad) {
   double wait = expectedWait(candidate, othersLoad);
+  // Exactly zero at speed 1.
+  wait += (wait + 1) * (1 / candidate.Speed - 1);
   wait += candidate.InSameDomain ? 0 : RemoteDomainCost;
   wait += candidate.Cold ? ColdServerCost : 0;
   return wait;
--- a/Balsamrack/Decisions/OpeningChoice.h
+++ b/Balsamrack/Decisions/OpeningChoice.h
@@ -17,6 +17,7 @@
   Suspected, ///< A server of its failure domain did not answer an earlier copy
              ///< of this opening; failure domains fail and are cut off as a
              ///< whole.
+  Ejected,   ///< It answers much more slowly than its peers.
   Expired,   ///< Its published entry was removed recently.
   Silent,    ///< The server, or its whole failure domain, does not answer
              ///< openings.
@@ -33,6 +34,7 @@
   double Share = 0;
   bool InSameDomain = true; ///< The server is in this daemon's failure domain.
   bool Cold = false;        ///< The server started recently and is still slow.
+  double Speed = 1;         ///< 2 for twice as fast as its peers; positive.
 };
 
 /// Extra cost of a server in another failure domain, in slots of expected wait.
@@ -51,7 +53,8 @@
 double expectedWait(const OpeningCandidate &candidate, double othersLoad);
 
 /// The cost that chooseForOpening() compares within a rank: the expected wait
-/// of \p candidate plus its extra costs. Pure, thread-safe.
+/// of \p candidate plus its extra costs. For a speed other than 1, the wait and
+/// the request itself take that much less or more time. Pure, thread-safe.
 double openingCost(const OpeningCandidate &candidate, double othersLoad);
 
 /// Marks the candidates of least cost, among which chooseForOpening() picks at
--- a/Balsamrack/Packets/FlowExplanation.cpp
+++ b/Balsamrack/Packets/FlowExplanation.cpp
@@ -12,7 +12,8 @@
 }
 
 const char *openingRankName(OpeningRank rank) {
-  static const char *const names[] = {"usual", "doubted", "lapsed", "silent"};
+  static const char *const names[] = {"usual", "doubted", "ejected", "lapsed",
+                                      "silent"};
   return names[static_cast<size_t>(rank)];
 }
 
@@ -51,7 +52,7 @@
     explanation.Candidates.push_back({server.Backend.Published->Server.Id,
                                       it.Rank, openingCost(it, of->Load),
                                       it.InProgress, it.Share, it.InSameDomain,
-                                      it.Cold, best[i]});
+                                      it.Cold, it.Speed, best[i]});
   }
   if (isServiceUnreachable(*service))
     explanation.Refused = PacketReason::Unreachable;
--- a/Balsamrack/Packets/FlowExplanation.h
+++ b/Balsamrack/Packets/FlowExplanation.h
@@ -20,6 +20,7 @@
   double Share = 0;  ///< Slots of the server assigned to this daemon.
   bool Near = true;  ///< In this daemon's failure domain.
   bool Cold = false; ///< Recently started and still slow.
+  double Speed = 1;  ///< Measured speed relative to its peers.
   bool Best =
       false; ///< Among the best. A new flow goes to a random one of these.
 };
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -4,17 +4,28 @@
 
 const char *packetEventName(PacketEventKind kind) {
   static const char *const names[PacketEventKinds] = {
-      "placed",  "placed-again", "confirmed",     "adopted",
-      "ended",   "abandoned",    "forgotten",     "refused",
-      "dropped", "given-up",     "server-silent", "server-back"};
+      "placed",         "placed-again",   "confirmed",     "adopted",
+      "ended",          "abandoned",      "forgotten",     "refused",
+      "dropped",        "given-up",       "server-silent", "server-back",
+      "server-ejected", "server-returned"};
   return names[static_cast<size_t>(kind)];
 }
 
 const char *packetReasonName(PacketReason reason) {
-  static const char *const names[PacketReasons] = {
-      "none",        "no-route",      "no-server",     "no-answer",
-      "unreachable", "unknown-token", "foreign-token", "no-token",
-      "not-ready",   "stale",         "malformed",     "copy"};
+  static const char *const names[PacketReasons] = {"none",
+                                                   "no-route",
+                                                   "no-server",
+                                                   "no-answer",
+                                                   "unreachable",
+                                                   "unknown-token",
+                                                   "foreign-token",
+                                                   "no-token",
+                                                   "not-ready",
+                                                   "stale",
+                                                   "malformed",
+                                                   "copy",
+                                                   "slower-than-peers",
+                                                   "half-of-slots"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -23,11 +23,13 @@
   Refused,   ///< An opening was answered with a reset.
   Dropped,   ///< A packet was not forwarded.
   GivenUp,   ///< An open flow was reset: its server is dead or unreachable.
-  ServerSilent, ///< A server stopped answering openings.
-  ServerBack,   ///< A silent server answers again.
+  ServerSilent,   ///< A server stopped answering openings.
+  ServerBack,     ///< A silent server answers again.
+  ServerEjected,  ///< A slow server gets no new flows.
+  ServerReturned, ///< An ejected server gets new flows again.
 };
 /// Number of kinds.
-constexpr size_t PacketEventKinds = 12;
+constexpr size_t PacketEventKinds = 14;
 
 /// Reason for an event.
 enum class PacketReason {
@@ -44,9 +46,11 @@
   Stale,        ///< The process was paused and has not received updates since.
   Malformed,    ///< The packet could not be decoded.
   Copy,         ///< A copy of an opening that was already forwarded.
+  SlowerThanPeers, ///< Its requests take three times as long as its peers'.
+  HalfOfSlots,     ///< It gets new flows for half of its slots at first.
 };
 /// Number of reasons.
-constexpr size_t PacketReasons = 12;
+constexpr size_t PacketReasons = 14;
 
 /// Name of a kind in lower case with hyphens. Thread-safe.
 const char *packetEventName(PacketEventKind kind);
@@ -69,6 +73,9 @@
   uint64_t Version = 0;    ///< Version of the configuration that was used.
   Duration Took{0}; ///< Confirmed, Ended, Abandoned: time since the first copy.
                     ///< Forgotten: time from the first copy to the last packet.
+                    ///< ServerReturned: time since the ejection.
+  double SlowRatio = 0; ///< ServerEjected: time of its slow requests over the
+                        ///< peers' typical time.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -48,6 +48,9 @@
              ///< callers send them, so they were delayed.
   bool IsCounted =
       false; ///< A request of the flow counts as in progress at Server.
+  bool IsSampled = false; ///< Its request found a free slot and was not
+                          ///< retransmitted, so its time is measured.
+  bool IsOverdue = false; ///< Its request was recorded as slow.
   ServerIndex Server = NoServerIndex; ///< Destination of its packets.
   uint32_t FirstSequence = 0; ///< Sequence number of the opening; distinguishes
                               ///< a new flow on the same ports from a copy.
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -31,6 +31,7 @@
       }
     std::vector<double> shares = slotShares(slots, daemons, self);
     Servers.setShares(service, std::move(usable), shares);
+    updateSpeedShare(service);
   }
 }
 
@@ -76,7 +77,9 @@
     return;
   }
   TrackedFlow spare;
-  auto to = chooseServer(now, *service, spare);
+  auto to = chooseProbe(now, *service, head);
+  if (!to)
+    to = chooseServer(now, *service, spare);
   if (!to && !HasAllServers) {
     // Servers that are not known yet may take the caller's next copy.
     out.report(makeEvent(PacketEventKind::Dropped, PacketReason::NotReady,
@@ -317,6 +320,7 @@
   // take its load.
   candidate.InSameDomain = !HasAllServers || what.Domain == Settings.Domain;
   candidate.Cold = now < server.Backend.ColdUntil;
+  applySpeed(index, candidate);
   Candidates.push_back(candidate);
 }
 
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -37,8 +37,11 @@
   bool sharesChanged = HasAllServers != update.HasAllServers;
   HasAllServers = update.HasAllServers;
   ServerTable::Change change = Servers.apply(update);
-  for (ServerIndex index : change.Removed)
+  for (ServerIndex index : change.Removed) {
     Detector.remove(index);
+    forgetSpeed(index);
+  }
+  forgetOldInstances(update);
   for (ServerIndex index : change.Added)
     Detector.add(index, Servers.at(index).Backend.Published->Server.Domain);
   if (sharesChanged || !update.Changed.empty() || !update.Removed.empty())
@@ -280,13 +283,17 @@
   if (step.Answered) {
     if (flow.IsCounted)
       Servers.serviceOf(flow.Server).recordRequestTime(now - flow.CountedAt);
+    endSpeedSample(now, flow, head);
     uncountRequest(flow);
     Detector.reportDelivered(flow.Server, flow.Requests.requestStartedAt());
   }
   if (step.Data != RequestDataKind::None)
     countRequest(now, flow, flow.Server);
+  if (step.Data == RequestDataKind::NewRequest)
+    beginSpeedSample(now, flow, head);
   if (step.Data != RequestDataKind::Retransmission)
     return;
+  discardSpeedSample(flow);
   Detector.reportUndelivered(now, flow.Server,
                              flow.Requests.requestStartedAt());
   if (Retransmitted.size() >= MaxRetransmitted)
@@ -335,6 +342,7 @@
   updateReachability(now);
   processDueOpenings(now, Unanswered, out);
   processDueOpenings(now, LastCopies, out);
+  processSpeeds(now, out);
   placeBufferedOpenings(now, out);
   placeLateOpenings(now, out);
   while (!Retransmitted.empty() &&
@@ -420,6 +428,8 @@
   TimePoint next = Unanswered.empty() ? Never : Unanswered.front().Due;
   if (!LastCopies.empty())
     next = std::min(next, LastCopies.front().Due);
+  if (!Speeds.Timers.empty())
+    next = std::min(next, Speeds.Timers.top().Due);
   // Slots are freed by incoming packets, and each packet is followed by a tick,
   // so only the deadline needs a wake-up.
   if (!Late.empty() && Routes)
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -18,6 +18,7 @@
 #include "Balsamrack/Packets/PacketFlowTable.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
+#include "Balsamrack/Packets/PacketSpeeds.h"
 #include "Balsamrack/Packets/ServerTable.h"
 #include "Balsamrack/Settings/LoadSettings.h"
 
@@ -132,6 +133,10 @@
   /// Number of servers that are silent individually, not counting the other
   /// servers of silent failure domains.
   size_t silentServers() const { return Detector.silentServerCount(); }
+  /// Number of servers that are ejected as slow.
+  size_t ejectedServers() const;
+  /// Measured speed of the server at \p index and whether it is ejected.
+  ServerSpeed speedOf(ServerIndex index) const;
   /// The snapshot in force; null before the first apply().
   const std::shared_ptr<const PacketRoutes> &routes() const { return Routes; }
   /// Current timeout for the answer to an opening.
@@ -221,6 +226,28 @@
   void reportSilentServer(ServerIndex server, const FlowKey &flow,
                           PacketSink &out);
   void updateShares();
+  void beginSpeedSample(TimePoint now, TrackedFlow &flow,
+                        const PacketHeader &head);
+  void endSpeedSample(TimePoint now, TrackedFlow &flow,
+                      const PacketHeader &head);
+  void discardSpeedSample(TrackedFlow &flow);
+  void processSpeeds(TimePoint now, PacketSink &out);
+  void processOverdueRequests(TimePoint now);
+  void recordOverdue(TimePoint now, TrackedFlow &flow, const FlowKey &key);
+  void decideEjections(TimePoint now, ServiceSpeeds &of);
+  void applySpeedChange(TimePoint now, ServerIndex server,
+                        SlowServerEjection::Change change);
+  void updateSpeed(TimePoint now, ServerIndex server);
+  void updateSpeedShare(ServiceEntry &service);
+  void refreshSpeeds(TimePoint now);
+  ServiceSpeeds &speedsOf(ServerIndex server);
+  void forgetSpeed(ServerIndex server);
+  void forgetOldInstances(const PacketUpdate &update);
+  void applySpeed(ServerIndex index, OpeningCandidate &candidate) const;
+  bool isProbing(const ServiceSpeeds &of, ServerIndex server);
+  std::optional<OpeningChoice> chooseProbe(TimePoint now,
+                                           const ServiceId &service,
+                                           const PacketHeader &head);
   PacketEvent makeEvent(PacketEventKind kind, PacketReason why,
                         const FlowKey &key, ServerIndex server) const;
 
@@ -240,6 +267,7 @@
   std::deque<UnansweredOpening> LastCopies;
   std::deque<RetransmittedRequest> Retransmitted; ///< Ordered by time.
   std::vector<OpeningCandidate> Candidates; ///< Reused to avoid allocations.
+  PacketSpeeds Speeds;                      ///< See LoadSettings::Speeds.
   FleetPosition Fleet;                      ///< See setFleet().
   bool HasAllServers = true;                ///< See PacketUpdate.
   bool Stale = false;                       ///< See setStale().
--- a/Balsamrack/Packets/ServerTable.cpp
+++ b/Balsamrack/Packets/ServerTable.cpp
@@ -223,6 +223,7 @@
     if (shares[i] > 0)
       service.OwnServers.push_back(usable[i]);
   }
+  service.SpeedShare = service.Share;
   service.UsableServers = std::move(usable);
 }
 
--- a/Balsamrack/Packets/ServerTable.h
+++ b/Balsamrack/Packets/ServerTable.h
@@ -36,14 +36,15 @@
   size_t NextSample = 0; ///< Offset of the next sample of UsableServers.
   uint32_t InProgress = 0;  ///< Requests of this daemon at all servers.
   double Share = 0;         ///< Slots of this daemon at all servers.
+  double SpeedShare = 0;    ///< Sum of its slots times their servers' speeds.
   double Load = 0;          ///< Smoothed ratio of InProgress to Share.
   double ShortTermLoad = 0; ///< Same, smoothed over about one request only.
   TimePoint LoadUpdatedAt;  ///< Last update of Load.
   /// Mean load of the shares of all failure domains, as their daemons report;
   /// empty while unknown.
   std::optional<double> SiteLoad;
-  Duration RequestTime{0};  ///< Smoothed time from counting a request to its
-                            ///< answer; zero before the first answer.
+  Duration RequestTime{0}; ///< Smoothed time from counting a request to its
+                           ///< answer; zero before the first answer.
 
   /// A request on a flow without packets for this long no longer counts as in
   /// progress: eight times the mean request time, within bounds. Callers that
@@ -73,6 +74,8 @@
   Change apply(const PacketUpdate &update);
   /// The server at \p index. Precondition: it is in the table.
   const ServerEntry &at(ServerIndex index) const { return Servers[index]; }
+  /// Index of the server with \p id. Precondition: it is in the table.
+  ServerIndex indexOf(const ServerId &id) const { return ById.at(id); }
   /// Number of servers.
   size_t size() const { return ById.size(); }
   /// All entries, including unused ones.
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -123,6 +123,7 @@
 private:
   static constexpr Duration Millisecond{1'000};
   static constexpr int MaxAttempts = 3;
+  static constexpr uint32_t AnswerBytes = 1000;
   static constexpr uint32_t HotCallerIp = 0x64400001;
 
   struct Event {
@@ -427,6 +428,7 @@
       PacketHeader head;
       head.Flow = Calls[id].Key;
       head.Acknowledges = true;
+      head.Acknowledged = AnswerBytes;
       head.Ends = true;
       if (!isWithin(Config.Outage))
         send(Calls[id].Daemon, head, id, true);
