Judge slow servers by their owners, and test speeds under load

Change: only a daemon that owns at least half of a server's slots judges it, also by requests beyond the slots, with a bound in proportion. A server is suspected at five slow requests, and ejected when five later requests of its peers took the usual time. No verdict while all servers are slower than usual or the load is over twice the slots. Speeds count from three standard errors and a fifth on.

--- a/Balsamrack/Decisions/ServerSpeeds.cpp
+++ b/Balsamrack/Decisions/ServerSpeeds.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-/// Samples that the typical time of a route needs, and divisor for the weight
-/// of one later sample. The time must follow a load that slows all servers
-/// within two seconds at 18 requests a second.
-constexpr size_t TypicalSamples = 16;
+/// Samples that the typical time of a route needs.
+constexpr size_t TypicalSamples = 32;
+/// Time constant of the typical time. It must be long against an overload of
+/// some seconds, which reference() shows then.
+constexpr double TypicalMicros = 30e6;
 /// Largest deviation of one sample, as a logarithm. A server that is 8 times
 /// slower would otherwise shift the typical time of its route.
 constexpr double MaxTypicalStep = 1;
@@ -18,26 +19,33 @@
 constexpr double MaxLogTime = 1.4;
 /// Time constant of a sample's weight. A server that is too expensive to get
 /// flows gives no samples, so its estimate must return to 1 by itself.
-constexpr double WeightMicros = 15e6;
+constexpr double WeightMicros = 30e6;
 /// Samples for half of the weight of an estimate.
 constexpr double HalfWeight = 8;
 /// Standard deviation of the relative times: .5 of log-normal requests, more
 /// with 3% of long ones.
 constexpr double Spread = 0.6;
-/// Estimates within this many standard errors count as 1.
-constexpr double StandardErrors = 2;
+/// Estimates within this many standard errors count as 1. With two, chance and
+/// waits shifted the prices of even servers enough for 17% more late answers at
+/// 80% load.
+constexpr double StandardErrors = 3;
 /// Weight below which a server is forgotten.
 constexpr double MinWeight = 0.1;
-/// Number of recent samples that are compared, and their greatest age. A daemon
-/// with few flows has three servers with samples within some seconds.
-constexpr size_t MaxRecent = 64;
+/// Speeds nearer to 1 count as 1: waits behind other daemons' flows, which this
+/// daemon does not see, shift the times of its own and of other servers apart.
+constexpr double MinLogSpeed = 0.2;
+/// Number of recent samples that are compared, in all and of one server, and
+/// their greatest age. A daemon with few flows has samples of three servers
+/// within some seconds, most of them of its own two.
+constexpr size_t MaxRecent = 96;
+constexpr size_t MaxRecentOfServer = 8;
 constexpr Duration MaxRecentAge{10'000'000};
 /// Servers that a median needs.
 constexpr size_t MinServers = 3;
 
-double logMicros(Duration took) {
-  return std::log(
-      static_cast<double>(std::max(took, ServerSpeeds::MinTime).count()));
+double logMicros(const SpeedSample &sample) {
+  Duration took = std::max(sample.Took, ServerSpeeds::MinTime);
+  return std::log(static_cast<double>(took.count())) - sample.LogQueue;
 }
 
 } // namespace
@@ -47,34 +55,40 @@
   auto route = Routes.find(sample.Route);
   if (route == Routes.end() || route->second.Samples < TypicalSamples)
     return std::nullopt;
-  return logMicros(sample.Took) - route->second.LogMicros;
+  return logMicros(sample) - route->second.LogMicros;
 }
 
-void ServerSpeeds::updateRoute(const SpeedSample &sample) {
+void ServerSpeeds::updateRoute(TimePoint now, const SpeedSample &sample) {
   RouteTime &route = Routes[sample.Route];
-  double time = logMicros(sample.Took);
+  double time = logMicros(sample);
   if (route.Samples == 0)
     route.LogMicros = time;
-  if (route.Samples < TypicalSamples)
-    ++route.Samples;
   double step =
       std::clamp(time - route.LogMicros, -MaxTypicalStep, MaxTypicalStep);
-  route.LogMicros += step / static_cast<double>(route.Samples);
+  auto since = static_cast<double>((now - route.UpdatedAt).count());
+  double weight =
+      std::min(1 - std::exp(-since / TypicalMicros), 1.0 / TypicalSamples);
+  if (route.Samples < TypicalSamples)
+    weight = 1 / static_cast<double>(++route.Samples);
+  route.UpdatedAt = now;
+  route.LogMicros += step * weight;
 }
 
 std::optional<double> ServerSpeeds::addAnswer(TimePoint now,
                                               const SpeedSample &sample,
                                               bool comparable) {
   std::optional<double> time = relativeTime(sample);
-  updateRoute(sample);
+  updateRoute(now, sample);
   if (!time)
     return std::nullopt;
   if (comparable)
     compare(now, sample, *time);
+  if (!Reference)
+    return time;
   Record &record = Servers[sample.Server];
   record.Weight = weightAt(now, record) + 1;
   record.UpdatedAt = now;
-  double bounded = std::clamp(*time, -MaxLogTime, MaxLogTime);
+  double bounded = std::clamp(*time - *Reference, -MaxLogTime, MaxLogTime);
   record.LogTime += (bounded - record.LogTime) / record.Weight;
   return time;
 }
@@ -89,6 +103,10 @@
 
 void ServerSpeeds::compare(TimePoint now, const SpeedSample &sample,
                            double logTime) {
+  auto isSame = [&](const Compared &it) { return it.Server == sample.Server; };
+  auto same = std::count_if(Recent.begin(), Recent.end(), isSame);
+  if (static_cast<size_t>(same) >= MaxRecentOfServer)
+    Recent.erase(std::find_if(Recent.begin(), Recent.end(), isSame));
   Recent.push_back({sample.Server, sample.StartedAt, now, logTime});
   while (Recent.size() > MaxRecent || now - Recent.front().At > MaxRecentAge)
     Recent.pop_front();
@@ -113,7 +131,7 @@
   std::vector<ServerTime> all;
   for (const Compared &it : Recent)
     if (it.Server != server && it.StartedAt >= since)
-      all.push_back({it.Server, it.LogTime});
+      all.push_back({it.Server, it.LogTime, 1});
   std::sort(all.begin(), all.end(),
             [](const ServerTime &a, const ServerTime &b) {
               return a.Server < b.Server;
@@ -125,7 +143,8 @@
     double sum = 0;
     for (; i < all.size() && all[i].Server == all[first].Server; ++i)
       sum += all[i].LogTime;
-    all[used++] = {all[first].Server, sum / static_cast<double>(i - first)};
+    all[used++] = {all[first].Server, sum / static_cast<double>(i - first),
+                   i - first};
   }
   all.resize(used);
   return all;
@@ -161,13 +180,13 @@
 double ServerSpeeds::speed(TimePoint now, size_t server) const {
   auto it = Servers.find(server);
   double weight = samples(now, server);
-  if (!Reference || weight < MinWeight)
+  if (weight < MinWeight)
     return 1;
-  double faster = *Reference - it->second.LogTime;
+  double faster = -it->second.LogTime;
   double chance = StandardErrors * Spread / std::sqrt(weight);
-  double certain = std::max(0.0, std::abs(faster) - chance);
-  double pulled =
-      std::copysign(certain, faster) * weight / (weight + HalfWeight);
+  if (std::abs(faster) < std::max(chance, MinLogSpeed))
+    return 1;
+  double pulled = faster * weight / (weight + HalfWeight);
   return std::clamp(std::exp(pulled), MinSpeed, MaxSpeed);
 }
 
--- a/Balsamrack/Decisions/ServerSpeeds.h
+++ b/Balsamrack/Decisions/ServerSpeeds.h
@@ -11,18 +11,21 @@
 
 namespace balsamrack {
 
-/// One request that found a free slot at its server.
+/// One request and its time.
 struct SpeedSample {
   size_t Server = 0;   ///< Index assigned by the calling code.
   size_t Route = 0;    ///< Requests of one route are alike; same for routes.
   TimePoint StartedAt; ///< When the request began.
   Duration Took{0};    ///< Time to the answer, without the network's part.
+  double LogQueue = 0; ///< Logarithm of the time, in service times, that was
+                       ///< expected for the load of the server.
 };
 
 /// Typical relative time of one server; see ServerSpeeds.
 struct ServerTime {
   size_t Server = 0;  ///< Index of the server.
   double LogTime = 0; ///< Mean logarithm of its relative times.
+  size_t Samples = 0; ///< Number of samples in the mean.
 };
 
 /// Estimates the speeds of the servers of one service from the answer times
@@ -61,10 +64,14 @@
   /// Forgets all samples of \p server, such as those of a former instance.
   void forget(size_t server);
 
+  /// Relative time of \p sample; nothing while the typical time of its route is
+  /// unknown.
+  std::optional<double> relativeTime(const SpeedSample &sample) const;
   /// Typical time of \p route at present; nothing while unknown.
   std::optional<Duration> typicalTime(size_t route) const;
   /// Median of the servers' mean relative times within the last seconds;
-  /// nothing with fewer than three servers.
+  /// nothing with fewer than three servers. It is the logarithm of the factor
+  /// by which all servers are slower than usual, such as under overload.
   std::optional<double> reference() const { return Reference; }
   /// Mean relative times of the servers other than \p server, from requests
   /// that began at or after \p since.
@@ -88,6 +95,7 @@
   struct RouteTime {
     double LogMicros = 0; ///< Logarithm of the time in microseconds.
     size_t Samples = 0;   ///< Number of samples, up to TypicalSamples.
+    TimePoint UpdatedAt;  ///< Last sample.
   };
   /// A sample that is compared with other servers.
   struct Compared {
@@ -97,8 +105,7 @@
     double LogTime;
   };
 
-  std::optional<double> relativeTime(const SpeedSample &sample) const;
-  void updateRoute(const SpeedSample &sample);
+  void updateRoute(TimePoint now, const SpeedSample &sample);
   void compare(TimePoint now, const SpeedSample &sample, double logTime);
   void updateReference();
   static double weightAt(TimePoint now, const Record &record);
--- a/Balsamrack/Decisions/SlowServerEjection.cpp
+++ b/Balsamrack/Decisions/SlowServerEjection.cpp
@@ -10,7 +10,7 @@
 
 /// Score of a suspected server, and of one that returns: its recent ejection is
 /// evidence already.
-constexpr int SuspectScore = 4;
+constexpr int SuspectScore = 5;
 constexpr int RelapseScore = 2;
 /// Requests under this ratio speak against a slow server: 79% of a healthy
 /// server's requests, 8% where all take three times as long.
@@ -170,7 +170,10 @@
     record.Score = 0;
     return Change::None;
   }
-  if (peers.size() < MinPeers ||
+  size_t samples = 0;
+  for (const SlowServerPeer &it : peers)
+    samples += it.Samples;
+  if (samples < MinPeerSamples ||
       (ejectedCount() + 1) * ServersPerEjected > accepting)
     return Change::None;
   if (medianOf(peers) > std::log(SlowPeerRatio) ||
--- a/Balsamrack/Decisions/SlowServerEjection.h
+++ b/Balsamrack/Decisions/SlowServerEjection.h
@@ -27,6 +27,7 @@
 /// Mean time of a peer since a server is suspected of being slow.
 struct SlowServerPeer {
   double LogRatio = 0;     ///< As SlowServerSample::LogRatio.
+  size_t Samples = 0;      ///< Number of requests in the mean.
   bool SameDomain = false; ///< It is in the suspected server's failure domain.
 };
 
@@ -39,17 +40,19 @@
 /// A request is slow when it takes more than three times its peers' typical
 /// time, whether it is answered or not. Each slow request adds one to the
 /// server's score, and each one under 1.5 times the typical time takes one off,
-/// down to zero. At a score of 4 the server is suspected. Where 3% of the
+/// down to zero. At a score of 5 the server is suspected. Where 3% of the
 /// requests take seven times as long and the others have a log-normal spread of
-/// .5, a request is slow by chance with .042, and four in a row with 3 in a
-/// million. Five of the last eight are twice as likely by chance and need
-/// longer: a server that is eight times slower shows two slow requests, one a
-/// slot, in each third of a second.
+/// .5, a request is slow by chance with .042, and five in a row with one in
+/// seven million. At a score of 4, up to five of 60 even servers were ejected
+/// at once at 60% load; five slow ones of the last eight would be 50 times as
+/// likely by chance. A server with two slots that is eight times slower shows
+/// two slow requests in each third of a second.
 ///
-/// A suspected server is ejected once at least three peers have answered
-/// requests that began after its first slow one, and in typical time; so a load
-/// or a fault that slows all servers ejects none, although it shows first at
-/// the server with most flows. Nor is a server ejected while at least half of
+/// A suspected server is ejected once five requests of its peers that began
+/// after its first slow one were answered, in typical time; so a load or a
+/// fault that slows all servers ejects none, although it shows first at the
+/// server with most flows. One peer is enough: a daemon that owns two servers
+/// sends few flows elsewhere. Nor is a server ejected while at least half of
 /// its failure domain's other servers are slow as well. At most a third of the
 /// servers is ejected: the rest must carry the load.
 ///
@@ -61,7 +64,8 @@
 class SlowServerEjection {
 public:
   static constexpr double SlowRatio = 3; ///< Ratio of a slow request.
-  static constexpr size_t MinPeers = 3;  ///< Peers that a verdict needs.
+  /// Requests of peers that a verdict needs.
+  static constexpr size_t MinPeerSamples = 5;
   static constexpr Duration FirstHold{1'000'000}; ///< First hold time.
   static constexpr Duration MaxHold{8'000'000};   ///< Longest hold time.
 
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -51,6 +51,7 @@
   bool IsSampled = false; ///< Its request found a free slot and was not
                           ///< retransmitted, so its time is measured.
   bool IsOverdue = false; ///< Its request was recorded as slow.
+  float LogQueue = 0;     ///< See SpeedSample::LogQueue.
   ServerIndex Server = NoServerIndex; ///< Destination of its packets.
   uint32_t FirstSequence = 0; ///< Sequence number of the opening; distinguishes
                               ///< a new flow on the same ports from a copy.
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -234,6 +234,7 @@
   void processSpeeds(TimePoint now, PacketSink &out);
   void processOverdueRequests(TimePoint now);
   void recordOverdue(TimePoint now, TrackedFlow &flow, const FlowKey &key);
+  bool isVerdictPossible(ServerIndex server);
   void decideEjections(TimePoint now, ServiceSpeeds &of);
   void applySpeedChange(TimePoint now, ServerIndex server,
                         SlowServerEjection::Change change);
--- a/Balsamrack/Packets/PacketSpeeds.cpp
+++ b/Balsamrack/Packets/PacketSpeeds.cpp
@@ -15,6 +15,16 @@
 /// A tick that is later than this shows that this process was stalled, so that
 /// answers may wait in its socket.
 constexpr Duration MaxTickDelay{20'000};
+/// Most requests of this daemon at a server, by its slots there, at which a
+/// request is measured. A slow server at 60% load always has more requests of
+/// its daemon than slots.
+constexpr double MaxQueue = 3;
+/// Load of this daemon's slots above which no server is judged: then queues
+/// differ more than speeds do.
+constexpr double MaxLoad = 2;
+/// Factor by which all servers may be slower than usual for a verdict about one
+/// of them.
+constexpr double MaxCommonSlowness = 1.7;
 /// Interval at which all speeds are computed anew, since samples lose weight.
 constexpr Duration RefreshInterval{1'000'000};
 
@@ -35,6 +45,12 @@
   return 1;
 }
 
+/// True when most flows of \p server come from this daemon, so that its own
+/// counts tell how long a request has to wait there.
+bool isOwner(const ServerEntry &server) {
+  return server.Share * 2 >= server.Backend.Published->Server.Slots;
+}
+
 } // namespace
 
 ServerSpeed PacketRouter::speedOf(ServerIndex index) const {
@@ -56,15 +72,18 @@
   if (!Settings.Load.Speeds || flow.Tries == 0)
     return;
   const ServerEntry &at = Servers.at(flow.Server);
-  if (now < at.Backend.ColdUntil ||
-      at.InProgress > std::max(1.0, std::round(at.Share)))
+  double slots = std::max(1.0, std::round(at.Share));
+  double queue = std::max(1.0, at.InProgress / slots);
+  if (now < at.Backend.ColdUntil || queue > (isOwner(at) ? MaxQueue : 1))
     return;
   flow.IsSampled = true;
+  flow.LogQueue = static_cast<float>(std::log(queue));
   const ServerSpeeds &times = speedsOf(flow.Server).Times;
   std::optional<Duration> typical = times.typicalTime(routeKey(head.Flow));
   if (!typical || !times.reference())
     return;
-  double slow = SlowServerEjection::SlowRatio * std::exp(*times.reference()) *
+  double slow = SlowServerEjection::SlowRatio * queue *
+                std::exp(*times.reference()) *
                 static_cast<double>(typical->count());
   Speeds.Timers.push({now + Timeout.mean() +
                           Duration(static_cast<int64_t>(std::ceil(slow)) + 1),
@@ -79,15 +98,18 @@
   ServiceSpeeds &of = speedsOf(flow.Server);
   TimePoint began = flow.Requests.requestStartedAt();
   SpeedSample sample{flow.Server, routeKey(head.Flow), began,
-                     now - began - Timeout.mean()};
+                     now - began - Timeout.mean(), flow.LogQueue};
   bool isEjected = of.Ejection.state(flow.Server) == SlowServerState::Ejected;
-  std::optional<double> time =
-      of.Times.addAnswer(now, sample, !flow.IsOverdue && !isEjected);
-  std::optional<double> reference = of.Times.reference();
-  if (time && reference && !flow.IsOverdue)
-    applySpeedChange(now, flow.Server,
-                     of.Ejection.recordAnswer(
-                         now, {flow.Server, began, *time - *reference}));
+  std::optional<double> time = of.Times.relativeTime(sample);
+  // A request that had to wait shows whether the server is slow, but not how
+  // fast it is.
+  if (flow.LogQueue == 0)
+    of.Times.addAnswer(now, sample, !flow.IsOverdue && !isEjected);
+  if (time && !flow.IsOverdue && isVerdictPossible(flow.Server))
+    applySpeedChange(
+        now, flow.Server,
+        of.Ejection.recordAnswer(
+            now, {flow.Server, began, *time - *of.Times.reference()}));
   updateSpeed(now, flow.Server);
   decideEjections(now, of);
 }
@@ -144,23 +166,30 @@
   ServiceSpeeds &of = speedsOf(flow.Server);
   TimePoint began = flow.Requests.requestStartedAt();
   SpeedSample sample{flow.Server, routeKey(key), began,
-                     now - began - Timeout.mean()};
+                     now - began - Timeout.mean(), flow.LogQueue};
+  if (flow.LogQueue == 0 &&
+      of.Ejection.state(flow.Server) != SlowServerState::Ejected)
+    of.Times.addOverdue(now, sample);
+  if (!isVerdictPossible(flow.Server))
+    return;
   double ratio = std::log(SlowServerEjection::SlowRatio);
-  std::optional<double> reference = of.Times.reference();
-  if (of.Ejection.state(flow.Server) != SlowServerState::Ejected) {
-    std::optional<double> time = of.Times.addOverdue(now, sample);
-    if (!time || !reference)
-      return;
-    ratio = *time - *reference;
-  }
   applySpeedChange(now, flow.Server,
                    of.Ejection.recordOverdue(now, {flow.Server, began, ratio}));
   decideEjections(now, of);
 }
 
+bool PacketRouter::isVerdictPossible(ServerIndex server) {
+  std::optional<double> reference = speedsOf(server).Times.reference();
+  return reference && *reference < std::log(MaxCommonSlowness) &&
+         isOwner(Servers.at(server)) &&
+         Servers.serviceOf(server).Load <= MaxLoad;
+}
+
 void PacketRouter::decideEjections(TimePoint now, ServiceSpeeds &of) {
   for (size_t suspect : of.Ejection.suspects()) {
     auto server = static_cast<ServerIndex>(suspect);
+    if (!isVerdictPossible(server))
+      continue;
     const ServiceEntry &service = Servers.serviceOf(server);
     auto domainOf = [this](size_t index) -> const DomainId & {
       return Servers.at(static_cast<ServerIndex>(index))
@@ -171,7 +200,8 @@
     double reference = of.Times.reference().value_or(0);
     for (const ServerTime &it :
          of.Times.peersSince(server, of.Ejection.suspectedSince(server)))
-      peers.push_back({it.LogTime - reference, domainOf(it.Server) == domain});
+      peers.push_back(
+          {it.LogTime - reference, it.Samples, domainOf(it.Server) == domain});
     bool alone = std::none_of(
         service.AcceptingServers.begin(), service.AcceptingServers.end(),
         [&](ServerIndex it) { return it != server && domainOf(it) == domain; });
--- a/PerformanceTest/server-countMain.cpp
+++ b/PerformanceTest/server-countMain.cpp
@@ -72,10 +72,11 @@
               took.count() / static_cast<double>(n));
 }
 
-void measure(size_t servers) {
+void measure(size_t servers, bool speeds) {
   SeededRandom random(1);
   PacketRouterSettings settings;
   settings.Domain = DomainId("bern-0");
+  settings.Load.Speeds = speeds;
   PacketRouter router(settings, random);
   PacketRoutesBuilder builder;
   TimePoint now(Duration(1'000'000));
@@ -99,7 +100,7 @@
     head.Sequence = i;
     router.handlePacket(now, head, packet, sizeof packet, sink);
   }
-  print("opening", servers, start, Openings);
+  print(speeds ? "opening-speeds" : "opening", servers, start, Openings);
 
   // Packets of one open flow.
   head.Opens = false;
@@ -124,6 +125,7 @@
 
 int main() {
   for (size_t servers : {18, 300, 3'000, 6'000, 12'000})
-    balsamrack::measure(servers);
+    for (bool speeds : {false, true})
+      balsamrack::measure(servers, speeds);
   return 0;
 }
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -48,6 +48,9 @@
     size_t SlowStride = 4;
     double SlowFactor = 1;
     std::vector<double> Speeds{1}; ///< By server index, repeated.
+    /// Log-normal service times (spread .5), 3% of them seven times as long,
+    /// with the same mean; otherwise uniform from half to one and a half of it.
+    bool MixedTimes = false;
     double UrgentPart = 0; ///< Part of the requests on a route of priority 1;
                            ///< all others have priority 2.
     double HotCallerPart = 0;    ///< Part of the requests of one single caller.
@@ -389,6 +392,20 @@
     bool slow = isWithin(Config.Slowness) && server % Config.SlowStride == 0;
     return slow ? speed / Config.SlowFactor : speed;
   }
+  /// Service time on a server of speed 1, with a mean of 32 ms.
+  double drawServiceMicros() {
+    if (!Config.MixedTimes)
+      return 16'000 + Random.nextDouble() * 32'000;
+    // The sum of twelve uniform numbers is nearly normal. The mean of the
+    // log-normal distribution is exp(.5 * .5 / 2) times its median; long
+    // requests add 18%.
+    double normal = -6;
+    for (int i = 0; i < 12; ++i)
+      normal += Random.nextDouble();
+    double median = 32'000 / (std::exp(0.125) * 1.18);
+    double factor = Random.nextDouble() < 0.03 ? 7 : 1;
+    return median * std::exp(0.5 * normal) * factor;
+  }
   void startJobs(size_t index) {
     Server &server = Servers[index];
     while (server.Busy < Slots && !server.Waiting.empty()) {
@@ -397,8 +414,7 @@
       ++server.Busy;
       ++Waits;
       WaitSum += static_cast<double>((Now - job.Since).count());
-      // Service times of mixed lookups: 16 to 48 ms, with a mean of 32 ms.
-      double micros = 16'000 + Random.nextDouble() * 32'000;
+      double micros = drawServiceMicros();
       Duration took(static_cast<int64_t>(micros / speedOf(index)));
       if (Now >= CountFrom && Now < CountTo)
         server.Worked += took;
