--- a/UnitTests/Packets/SpeedsLoadTest.cpp
+++ b/UnitTests/Packets/SpeedsLoadTest.cpp
@@ -25,7 +25,7 @@
 
 struct Summary {
   LoadedSite::Result Run;
-  size_t MostEjected = 0; ///< Servers times daemons.
+  size_t PeakEjected = 0; ///< Servers times daemons.
   size_t LastEjected = 0;
   int missed() const { return Run.Asked - Run.InTime; }
 };
@@ -38,22 +38,23 @@
     sum.LastEjected = 0;
     for (size_t i = 0; i < options.Daemons; ++i)
       sum.LastEjected += run.router(i).ejectedServers();
-    sum.MostEjected = std::max(sum.MostEjected, sum.LastEjected);
+    sum.PeakEjected = std::max(sum.PeakEjected, sum.LastEjected);
   });
   sum.Run = run.run(length, from, to);
   printf("%s, speeds %s: asked %d, late %d, lost %d; p99 %.0f ms, wait %.1f "
          "ms, busiest to mean %.2f, ejected at most %zu, at last %zu\n",
          name, options.Load.Speeds ? "on" : "off", sum.Run.Asked, sum.Run.Late,
          sum.Run.lost(), static_cast<double>(sum.Run.Slowest99.count()) / 1000,
-         sum.Run.MeanWaitMillis, sum.Run.BusiestToMean, sum.MostEjected,
+         sum.Run.MeanWaitMillis, sum.Run.BusiestToMean, sum.PeakEjected,
          sum.LastEjected);
   return sum;
 }
 
 // A quarter of the servers is 8 times slower for 7 s. Finding one takes about a
 // second; then the slow probes after holds of 1, 2 and 4 s are late. So at
-// least a third of the late answers must go. 2% are late in any case, as their
-// requests take seven times as long.
+// least a third of the missed answers must go. 2% are missed in any case, as
+// they take seven times as long. At 60% load, the loss of a quarter of the
+// servers and the queues of the first second cost more: fewer must be missed.
 TEST(SpeedsLoadTest, SlowServersAreEjectedAndUsedAgain) {
   for (double load : {0.2, 0.6}) {
     Summary slow[2], after[2];
@@ -98,14 +99,14 @@
     Summary on =
         play("even", site(true, load), Second * 15, Second * 5, Second * 15);
     EXPECT_LT(on.missed(), missed * 115 / 100 + 10);
-    EXPECT_LE(on.MostEjected, 2U);
+    EXPECT_LE(on.PeakEjected, 2U);
   }
   LoadedSite::Options options = site(true, 0.2);
   options.SlowStride = 1;
   options.SlowFactor = 4;
   options.Slowness = {Second * 5, Second * 12};
   EXPECT_LE(play("all slow", options, Second * 15, Second * 5, Second * 12)
-                .MostEjected,
+                .PeakEjected,
             2U);
 }
 
