Weigh slot shares by the demand of the failure domains

With equal shares, daemons of a crowded failure domain fill their own slots and assume that all others are as full. Daemons now measure requests started per second, agree on one figure for each domain in the digests of the state exchange, and own slots in proportion (switch load.domain_demand, off by default; with it off nothing is sent and shares are computed as before).

--- a/Balsamrack/Daemon/PacketControlPlane.cpp
+++ b/Balsamrack/Daemon/PacketControlPlane.cpp
@@ -71,7 +71,10 @@
     : Self(self), Run(run), Random(seed), Peers(std::move(peers)),
       Source(source), Time(clock), TelemetrySink(telemetry), Listener(listener),
       Tasks(std::make_shared<TaskQueue>()),
-      Exchange(StateExchangeSettings(), self, Random) {}
+      Exchange(StateExchangeSettings(), self, Random) {
+  Exchange.setLoadReporter(
+      [this](TimePoint) { return Listener.loadReports(); });
+}
 
 PacketControlPlane::~PacketControlPlane() { stop(); }
 
@@ -276,13 +279,20 @@
   Exchange.setPeers(peers);
   if (self == order.end())
     return;
-  auto isOther = [this](const auto &it) { return it.first != Self.Domain; };
-  auto domainBegin = std::find_if_not(order.begin(), order.end(), isOther);
-  auto domainEnd = std::find_if(domainBegin, order.end(), isOther);
-  Listener.onFleetChanged({order.size(),
-                           static_cast<size_t>(self - order.begin()),
-                           static_cast<size_t>(domainEnd - domainBegin),
-                           static_cast<size_t>(self - domainBegin)});
+  FleetPosition position;
+  position.Daemons = order.size();
+  position.Index = static_cast<size_t>(self - order.begin());
+  for (auto it = order.begin(); it != order.end(); ++it) {
+    if (it == order.begin() || position.Domains.back().Id != it->first)
+      position.Domains.push_back({it->first, 0});
+    if (it == self)
+      position.DomainIndex = position.Domains.back().Daemons;
+    ++position.Domains.back().Daemons;
+  }
+  for (const FleetDomain &domain : position.Domains)
+    if (domain.Id == Self.Domain)
+      position.DomainDaemons = domain.Daemons;
+  Listener.onFleetChanged(position);
 }
 
 void PacketControlPlane::send(const EntryVm &to, const PeerMessage &message) {
@@ -318,6 +328,8 @@
                   source->Readable ? "source-regained" : "source-lost")
               .text("section", sectionName(source->Section))
               .text("error", source->Error));
+    } else if (const auto *load = std::get_if<LoadReportsReceived>(&action)) {
+      Listener.onLoadReports(load->Loads);
     }
   }
   bool complete = Exchange.store().isComplete();
--- a/Balsamrack/Daemon/PacketControlPlane.h
+++ b/Balsamrack/Daemon/PacketControlPlane.h
@@ -30,6 +30,10 @@
   virtual void onFleetChanged(const FleetPosition &position) = 0;
   /// Updates have arrived after a pause.
   virtual void onRefreshed() = 0;
+  /// A peer sent load reports.
+  virtual void onLoadReports(const LoadReports &reports) = 0;
+  /// Returns the load reports to send to a peer now.
+  virtual LoadReports loadReports() = 0;
 };
 
 /// Control plane of a daemon on the packet carrier: runs membership, the
--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -144,6 +144,12 @@
 
 void PacketDaemon::onRefreshed() { Forwarder->setFresh(); }
 
+void PacketDaemon::onLoadReports(const LoadReports &reports) {
+  Forwarder->handleLoadReports(reports);
+}
+
+LoadReports PacketDaemon::loadReports() { return Forwarder->loadReports(); }
+
 void PacketDaemon::reload(const PacketSettings &settings) {
   bool fixed = settings.PacketAddress == Settings.PacketAddress &&
                settings.ReadyAddress == Settings.ReadyAddress &&
--- a/Balsamrack/Daemon/PacketDaemon.h
+++ b/Balsamrack/Daemon/PacketDaemon.h
@@ -50,6 +50,8 @@
   void onPublishedChanged(const PacketUpdate &update) override;
   void onFleetChanged(const FleetPosition &position) override;
   void onRefreshed() override;
+  void onLoadReports(const LoadReports &reports) override;
+  LoadReports loadReports() override;
   Answer answerReady(const Message &message) const;
 
   const PacketSettings Settings;
--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -87,6 +87,21 @@
   return Router.explain(Time.now(), key);
 }
 
+void PacketForwarder::handleLoadReports(const LoadReports &reports) {
+  std::lock_guard<std::mutex> hold(Lock);
+  Router.handleLoadReports(Time.now(), reports);
+}
+
+LoadReports PacketForwarder::loadReports() {
+  std::lock_guard<std::mutex> hold(Lock);
+  return Router.loadReports(Time.now());
+}
+
+std::vector<ServiceDemandStatus> PacketForwarder::domainDemand() {
+  std::lock_guard<std::mutex> hold(Lock);
+  return Router.domainDemand(Time.now());
+}
+
 ForwarderStatus PacketForwarder::status() {
   std::lock_guard<std::mutex> hold(Lock);
   return {Router.routes() ? Router.routes()->Version : 0,
@@ -209,6 +224,8 @@
     return;
   NextMetricsAt = now + MetricsPeriod;
   TelemetrySink.setPacketMetrics(Socket->counters(), Router);
+  TelemetrySink.setDomainDemand(Router.domainDemand(now),
+                                Router.loadReportCounts());
 }
 
 void PacketForwarder::run() {
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -75,6 +75,12 @@
   void setFresh();
   /// See PacketRouter.
   FlowExplanation explain(const FlowKey &key);
+  /// See PacketRouter.
+  void handleLoadReports(const LoadReports &reports);
+  /// See PacketRouter.
+  LoadReports loadReports();
+  /// See PacketRouter.
+  std::vector<ServiceDemandStatus> domainDemand();
   /// Returns the current state.
   ForwarderStatus status();
   /// Returns all servers in the router's table.
--- a/Balsamrack/Daemon/PacketOperatorHandler.cpp
+++ b/Balsamrack/Daemon/PacketOperatorHandler.cpp
@@ -84,6 +84,20 @@
   return all;
 }
 
+/// Describes the demand of each service in each failure domain.
+json describeDemand(const std::vector<ServiceDemandStatus> &demand) {
+  json all = json::array();
+  for (const ServiceDemandStatus &service : demand)
+    for (const DemandStatus &it : service.Domains)
+      all.push_back({{"service", service.Service.str()},
+                     {"failure_domain", it.Domain.str()},
+                     {"demand", it.Figures.Rate},
+                     {"load", it.Figures.Load},
+                     {"weight", it.Weight},
+                     {"age_ms", millis(it.Age)}});
+  return all;
+}
+
 } // namespace
 
 PacketOperatorHandler::PacketOperatorHandler(const PacketSettings &settings,
@@ -107,15 +121,18 @@
 
 OperatorReply PacketOperatorHandler::status() const {
   ForwarderStatus now = Forwarder.status();
-  return successReply({{"vm", Settings.Name},
-                       {"failure_domain", Settings.Domain.str()},
-                       {"version", BALSAMRACK_VERSION},
-                       {"ticket", now.Configuration},
-                       {"flows", now.Flows},
-                       {"daemons", now.Daemons},
-                       {"silent_servers", now.SilentServers},
-                       {"servers", now.Servers},
-                       {"all_servers_known", now.HasAllServers}});
+  json reply = {{"vm", Settings.Name},
+                {"failure_domain", Settings.Domain.str()},
+                {"version", BALSAMRACK_VERSION},
+                {"ticket", now.Configuration},
+                {"flows", now.Flows},
+                {"daemons", now.Daemons},
+                {"silent_servers", now.SilentServers},
+                {"servers", now.Servers},
+                {"all_servers_known", now.HasAllServers}};
+  if (Settings.Load.DomainDemand)
+    reply["domain_demand"] = describeDemand(Forwarder.domainDemand());
+  return successReply(reply);
 }
 
 OperatorReply PacketOperatorHandler::servers() const {
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -1,5 +1,7 @@
 #include "Balsamrack/Daemon/PacketTelemetry.h"
 
+#include <algorithm>
+
 #include "Balsamrack/Core/Errors.h"
 #include "Balsamrack/Peers/PeerCodec.h"
 
@@ -53,6 +55,17 @@
     "balsamrack_published_complete",
     "1 if all published objects are held, 0 if some may be missing.",
     MetricKind::Gauge};
+constexpr MetricFamily DomainDemandRate{
+    "balsamrack_domain_demand",
+    "Requests started per second and daemon, by service and failure domain.",
+    MetricKind::Gauge};
+constexpr MetricFamily DomainDemandAge{
+    "balsamrack_domain_demand_age_seconds",
+    "Since the failure domain's daemons issued its demand.", MetricKind::Gauge};
+constexpr MetricFamily LoadReportsTotal{
+    "balsamrack_load_reports_total",
+    "Load reports received from other daemons, by outcome.",
+    MetricKind::Counter};
 constexpr MetricFamily Reads{"balsamrack_reads_total",
                              "Reads of the publishing service, by outcome.",
                              MetricKind::Counter};
@@ -138,6 +151,49 @@
   Registry->set(OpeningTimeoutSeconds, {}, seconds(router.openingTimeout()));
 }
 
+void PacketTelemetry::setDomainDemand(
+    const std::vector<ServiceDemandStatus> &demand,
+    const LoadReportCounts &reports) {
+  for (const ServiceDemandStatus &service : demand) {
+    for (const DemandStatus &it : service.Domains) {
+      MetricLabels labels{{"service", service.Service.str()},
+                          {"domain", it.Domain.str()}};
+      Registry->set(DomainDemandRate, labels, it.Figures.Rate);
+      Registry->set(DomainDemandAge, labels, seconds(it.Age));
+    }
+    logWeights(service);
+  }
+  if (reports.Used > CountedReports.Used)
+    Registry->count(LoadReportsTotal, {{"outcome", "used"}},
+                    reports.Used - CountedReports.Used);
+  if (reports.Ignored > CountedReports.Ignored)
+    Registry->count(LoadReportsTotal, {{"outcome", "ignored"}},
+                    reports.Ignored - CountedReports.Ignored);
+  CountedReports = reports;
+}
+
+void PacketTelemetry::logWeights(const ServiceDemandStatus &demand) {
+  bool weighted =
+      std::any_of(demand.Domains.begin(), demand.Domains.end(),
+                  [](const DemandStatus &it) { return it.Weight != 1; });
+  bool was = Weighted.count(demand.Service) > 0;
+  if (weighted == was)
+    return;
+  if (weighted)
+    Weighted.insert(demand.Service);
+  else
+    Weighted.erase(demand.Service);
+  for (const DemandStatus &it : demand.Domains)
+    Log.write(LogLine(Component::Entry, Severity::Info,
+                      weighted ? "shares-weighted" : "shares-equal")
+                  .text("service", demand.Service.str())
+                  .text("domain", it.Domain.str())
+                  .decimal("demand", it.Figures.Rate)
+                  .decimal("load", it.Figures.Load)
+                  .decimal("weight", it.Weight)
+                  .millis("age_ms", it.Age));
+}
+
 void PacketTelemetry::setPeerMetrics(const DatagramCounters &peers,
                                      size_t live) {
   Registry->set(PeerBytes, {{"direction", "sent"}},
--- a/Balsamrack/Daemon/PacketTelemetry.h
+++ b/Balsamrack/Daemon/PacketTelemetry.h
@@ -2,7 +2,9 @@
 #define BALSAMRACK_DAEMON_PACKETTELEMETRY_H
 
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "Balsamrack/Observability/EventLog.h"
 #include "Balsamrack/Observability/Metrics.h"
@@ -38,6 +40,10 @@
   /// Updates the metrics of the packet socket and the router.
   void setPacketMetrics(const PacketSocketCounters &socket,
                         const PacketRouter &router);
+  /// Updates the metrics of the failure domains' demand, and logs when the slot
+  /// shares of a service become weighted by it or equal. Call from one thread.
+  void setDomainDemand(const std::vector<ServiceDemandStatus> &demand,
+                       const LoadReportCounts &reports);
   /// Updates the metrics of peer traffic and live peers.
   void setPeerMetrics(const DatagramCounters &peers, size_t live);
   /// Updates the metrics of \p section in \p store, of which \p age ago it was
@@ -53,9 +59,13 @@
 private:
   void setMessageMetrics(const char *direction, const MessageCounts &counts);
   static bool isLogged(const PacketEvent &event);
+  void logWeights(const ServiceDemandStatus &demand);
 
   EventLog &Log;
   std::unique_ptr<Metrics> Registry;
+  // Used by setDomainDemand() only.
+  std::set<ServiceId> Weighted;    ///< Services with weighted slot shares.
+  LoadReportCounts CountedReports; ///< Counted in the metrics.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Decisions/SlotShares.h
+++ b/Balsamrack/Decisions/SlotShares.h
@@ -30,6 +30,22 @@
 std::vector<double> slotShares(const std::vector<uint32_t> &slots,
                                size_t daemons, size_t self);
 
+/// Consecutive daemons with the same weight: those of one failure domain.
+struct WeightedDaemons {
+  size_t Daemons = 0; ///< Number of daemons.
+  double Weight = 1;  ///< Relative length of each daemon's range.
+};
+
+/// As above, with ranges that are proportional to the daemons' weights. The
+/// order of the ranges stays the same, so that the ranges of heavier domains
+/// extend into the neighbouring domains' servers. \p groups are in the order of
+/// the daemons. Ranges are equal, exactly as above, if all weights are equal,
+/// any of them is not positive and finite, or the groups do not have \p daemons
+/// daemons in all. Precondition: self < daemons. Pure, thread-safe.
+std::vector<double> slotShares(const std::vector<uint32_t> &slots,
+                               size_t daemons, size_t self,
+                               const std::vector<WeightedDaemons> &groups);
+
 } // namespace balsamrack
 
 #endif // BALSAMRACK_DECISIONS_SLOTSHARES_H
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -18,20 +18,24 @@
 } // namespace
 
 void PacketRouter::updateShares() {
+  for (auto &[id, service] : Servers.mutableServices())
+    updateShares(id, service);
+}
+
+void PacketRouter::updateShares(const ServiceId &id, ServiceEntry &service) {
   // Only the daemons of the own domain use the servers that are known first.
   size_t daemons = HasAllServers ? Fleet.Daemons : Fleet.DomainDaemons;
   size_t self = HasAllServers ? Fleet.Index : Fleet.DomainIndex;
-  for (auto &[id, service] : Servers.mutableServices()) {
-    std::vector<ServerIndex> usable;
-    std::vector<uint32_t> slots;
-    for (ServerIndex index : service.AcceptingServers)
-      if (!Detector.isSilent(index)) {
-        usable.push_back(index);
-        slots.push_back(Servers.at(index).Backend.Published->Server.Slots);
-      }
-    std::vector<double> shares = slotShares(slots, daemons, self);
-    Servers.setShares(service, std::move(usable), shares);
-  }
+  std::vector<ServerIndex> usable;
+  std::vector<uint32_t> slots;
+  for (ServerIndex index : service.AcceptingServers)
+    if (!Detector.isSilent(index)) {
+      usable.push_back(index);
+      slots.push_back(Servers.at(index).Backend.Published->Server.Slots);
+    }
+  std::vector<double> shares =
+      slotShares(slots, daemons, self, demandWeights(id));
+  Servers.setShares(service, std::move(usable), shares);
 }
 
 const ServiceId *PacketRouter::serviceFor(const FlowKey &key) const {
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -50,6 +50,8 @@
   assert(position.DomainIndex < position.DomainDaemons);
   Fleet = position;
   Detector.setDaemonCount(position.Daemons);
+  for (auto &[id, demand] : Demands)
+    setDemandFleet(demand);
   updateShares();
 }
 
@@ -82,6 +84,9 @@
     uncountRequest(*flow);
     Flows.erase(head.Flow);
   }
+  // The original SYN stands for all copies, which may reach other daemons.
+  if (head.CopyNumber == 0 && !Demands.empty())
+    recordDemand(serviceFor(head.Flow));
   if (Stale || isAwaitingServers(head)) {
     if (!bufferOpening(now, head, bytes, n, Settings.RefreshWait))
       out.report(makeEvent(PacketEventKind::Dropped,
@@ -276,7 +281,12 @@
 
 void PacketRouter::trackRequests(TimePoint now, TrackedFlow &flow,
                                  const PacketHeader &head) {
+  // The first request of a flow that was opened here counted as its opening.
+  bool isCountedAsOpening =
+      flow.CopiesSeen != 0 && flow.Requests.requestStartedAt() == TimePoint{};
   RequestProgress step = flow.Requests.handlePacket(now, head);
+  if (step.Data == RequestDataKind::NewRequest && !isCountedAsOpening)
+    recordDemand(&Servers.at(flow.Server).Backend.Published->Server.Service);
   if (step.Answered) {
     if (flow.IsCounted)
       Servers.serviceOf(flow.Server).recordRequestTime(now - flow.CountedAt);
@@ -333,6 +343,7 @@
 
 void PacketRouter::tick(TimePoint now, PacketSink &out) {
   updateReachability(now);
+  updateDemand(now);
   processDueOpenings(now, Unanswered, out);
   processDueOpenings(now, LastCopies, out);
   placeBufferedOpenings(now, out);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -3,11 +3,13 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
 
 #include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Decisions/DomainDemand.h"
 #include "Balsamrack/Decisions/FailureDetector.h"
 #include "Balsamrack/Decisions/OpeningChoice.h"
 #include "Balsamrack/Decisions/ReachMonitor.h"
@@ -19,6 +21,7 @@
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
 #include "Balsamrack/Packets/ServerTable.h"
+#include "Balsamrack/Published/LoadReports.h"
 #include "Balsamrack/Settings/LoadSettings.h"
 
 namespace balsamrack {
@@ -65,6 +68,18 @@
   NotAttempted, ///< No socket was available; the server's state is unknown.
 };
 
+/// Numbers of load reports from peers.
+struct LoadReportCounts {
+  uint64_t Used = 0;
+  uint64_t Ignored = 0; ///< Invalid, old, or of an unknown service or domain.
+};
+
+/// Demand of one service in the failure domains.
+struct ServiceDemandStatus {
+  ServiceId Service;                 ///< The service.
+  std::vector<DemandStatus> Domains; ///< Those with known demand.
+};
+
 /// Decides where each packet is sent. Takes packet headers and passes actions
 /// to a PacketSink. Time and random numbers are parameters, so the same input
 /// gives the same actions. Not thread-safe.
@@ -105,6 +120,16 @@
   void handleAttemptResult(TimePoint now, ServerIndex server,
                            ConnectionResult how, PacketSink &out);
 
+  /// Load reports to be sent to a peer now; none unless the settings turn on
+  /// DomainDemand.
+  LoadReports loadReports(TimePoint now);
+  /// Handles load reports from a peer.
+  void handleLoadReports(TimePoint now, const LoadReports &reports);
+  /// Demand of the services in the failure domains, as far as it is known.
+  std::vector<ServiceDemandStatus> domainDemand(TimePoint now) const;
+  /// Numbers of handled load reports.
+  const LoadReportCounts &loadReportCounts() const { return ReportCounts; }
+
   /// Describes the state of the flow \p key and where its first opening would
   /// be sent now. Changes nothing and draws no random number.
   FlowExplanation explain(TimePoint now, const FlowKey &key);
@@ -221,6 +246,12 @@
   void reportSilentServer(ServerIndex server, const FlowKey &flow,
                           PacketSink &out);
   void updateShares();
+  void updateShares(const ServiceId &id, ServiceEntry &service);
+  void updateDemand(TimePoint now);
+  void setDemandFleet(DomainDemand &demand) const;
+  void recordDemand(const ServiceId *service);
+  bool handleLoadReport(TimePoint now, const LoadReport &report);
+  std::vector<WeightedDaemons> demandWeights(const ServiceId &service) const;
   PacketEvent makeEvent(PacketEventKind kind, PacketReason why,
                         const FlowKey &key, ServerIndex server) const;
 
@@ -239,10 +270,14 @@
   /// queue because they wait longer and would delay the other openings.
   std::deque<UnansweredOpening> LastCopies;
   std::deque<RetransmittedRequest> Retransmitted; ///< Ordered by time.
-  std::vector<OpeningCandidate> Candidates; ///< Reused to avoid allocations.
-  FleetPosition Fleet;                      ///< See setFleet().
-  bool HasAllServers = true;                ///< See PacketUpdate.
-  bool Stale = false;                       ///< See setStale().
+  std::vector<OpeningCandidate> Candidates;  ///< Reused to avoid allocations.
+  FleetPosition Fleet;                       ///< See setFleet().
+  std::map<ServiceId, DomainDemand> Demands; ///< Empty if not turned on.
+  TimePoint NextDemandUpdate;                ///< When updateDemand() is due.
+  size_t NextLoadReport = 0;     ///< Offset of the next message's reports.
+  LoadReportCounts ReportCounts; ///< See loadReportCounts().
+  bool HasAllServers = true;     ///< See PacketUpdate.
+  bool Stale = false;            ///< See setStale().
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/FieldArchive.h
+++ b/Balsamrack/Peers/FieldArchive.h
@@ -34,6 +34,11 @@
     if (!isDefault(v))
       Out[name] = std::move(v);
   }
+  /// Writes an optional field; see FieldReader.
+  template <class T> bool optional(const char *name, const T &field) {
+    (*this)(name, field);
+    return true;
+  }
   /// Writes an enum; \p last is its highest enumerator.
   template <class E> void oneOf(const char *name, const E &field, E) {
     (*this)(name, static_cast<uint32_t>(field));
@@ -125,6 +130,16 @@
     else if (!value(*v, field))
       fail(name);
   }
+  /// Reads an optional field, which must not make the whole message invalid.
+  /// Returns false if it is present and invalid; then it is empty.
+  /// Precondition: not a struct or a list of structs.
+  template <class T> bool optional(const char *name, T &field) {
+    const nlohmann::json *v = find(name);
+    bool valid = !v || value(*v, field);
+    if (!v || !valid)
+      clear(field);
+    return valid;
+  }
   /// Reads an enum; values above \p last are errors.
   template <class E> void oneOf(const char *name, E &field, E last) {
     uint32_t raw = 0;
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "Balsamrack/Peers/FieldArchive.h"
+#include "Balsamrack/Peers/LoadReportFields.h"
 #include "Balsamrack/Peers/RouteGroups.h"
 #include "Balsamrack/Published/PublishedMessages.h"
 
@@ -172,6 +173,7 @@
   ar("r", m.Relay);
   ar("b", m.Broadcast);
   ar("l", m.Listing);
+  fields(ar, m.Loads);
 }
 
 template <class Ar>
--- a/Balsamrack/Published/PublishedMessages.h
+++ b/Balsamrack/Published/PublishedMessages.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <vector>
 
+#include "Balsamrack/Published/LoadReports.h"
 #include "Balsamrack/Published/PublishedState.h"
 
 namespace balsamrack {
@@ -33,6 +34,7 @@
                           ///< those that are behind ask other peers.
   bool Listing = false;   ///< The sender is listing the whole servers' section,
                           ///< so others of its failure domain need not.
+  LoadReports Loads{};    ///< Optional: load of the failure domains.
 };
 
 /// Request for the missing objects of one section.
--- a/Balsamrack/Published/StateExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -384,8 +384,12 @@
   std::vector<EntryVm> chosen = pickPeers(OwnDomainNext, 1);
   if (chosen.empty())
     chosen = pickPeers(!OwnDomainNext, 1);
-  if (!chosen.empty())
-    sendDigest(now, chosen.front(), false);
+  if (chosen.empty())
+    return;
+  PublishedDigest digest{digests(now), false, false};
+  if (LoadReporter)
+    digest.Loads = LoadReporter(now);
+  send(std::move(chosen), std::move(digest));
 }
 
 void StateExchange::sendDigestToDomain(TimePoint now, size_t most) {
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <utility>
@@ -111,9 +112,15 @@
   std::string Error;             ///< Failure of the read; empty on success.
 };
 
+/// A peer's digest carried load reports.
+struct LoadReportsReceived {
+  LoadReports Loads; ///< Not checked.
+};
+
 /// Actions that a StateExchange returns, to be carried out in order.
 using StateExchangeAction =
-    std::variant<SendStateMessage, StartRead, StateChanged, SourceChanged>;
+    std::variant<SendStateMessage, StartRead, StateChanged, SourceChanged,
+                 LoadReportsReceived>;
 
 /// Decides which daemons read the publishing service, and distributes the
 /// published state among daemons.
@@ -153,6 +160,11 @@
 
   /// Sets the live daemons, this one excluded.
   void setPeers(const std::vector<EntryVm> &peers);
+  /// Sets what provides the load reports that digests to random peers carry.
+  /// Without it they carry none.
+  void setLoadReporter(std::function<LoadReports(TimePoint)> reporter) {
+    LoadReporter = std::move(reporter);
+  }
   /// Starts due reads and digests. Call by nextWakeup() at the latest.
   std::vector<StateExchangeAction> tick(TimePoint now);
   /// Requests updates from some peers after a pause of this process, since its
@@ -279,7 +291,9 @@
   TimePoint
       NextRequest; ///< Earliest time of the next request; see RequestTimeout.
   VmId AskedPeer;  ///< Peer that the outstanding request was sent to.
-  TimePoint NextDigest;      ///< When the next digest to a random peer is due.
+  TimePoint NextDigest; ///< When the next digest to a random peer is due.
+  std::function<LoadReports(TimePoint)>
+      LoadReporter;          ///< See setLoadReporter(); may be empty.
   bool OwnDomainNext = true; ///< Toggles between the own and other domains.
   std::vector<StateExchangeAction> Actions; ///< Result of the current call.
 };
--- a/Balsamrack/Published/StateExchangeSync.cpp
+++ b/Balsamrack/Published/StateExchangeSync.cpp
@@ -164,6 +164,8 @@
 std::vector<StateExchangeAction>
 StateExchange::handleDigest(TimePoint now, const EntryVm &from,
                             const PublishedDigest &digest) {
+  if (!digest.Loads.Reports.empty() || digest.Loads.Invalid)
+    Actions.emplace_back(LoadReportsReceived{digest.Loads});
   if (mergeDigests(now, digest.Digests) && digest.Relay)
     broadcastDigestToDomain(now);
   if (digest.Listing)
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -36,6 +36,9 @@
     double PerSecond = 440; ///< Requests per second of all callers.
     /// Relative rates of the domains' callers; empty: all the same.
     std::vector<double> DomainRates;
+    /// As DomainRates, by the time since the start. The rates are multiples of
+    /// an even part of PerSecond.
+    std::function<std::vector<double>(Duration)> RatesAt;
     bool UseShares = true;         ///< Daemons know the size of the fleet.
     bool DelayLateOpenings = true; ///< Late openings wait for free slots.
     LoadSettings Load;             ///< Optional decisions under load.
@@ -236,8 +239,12 @@
     if (!Config.UseShares)
       return;
     size_t first = firstDaemon(domain);
-    bench.Router.setFleet(
-        {Config.Daemons, i, firstDaemon(domain + 1) - first, i - first});
+    FleetPosition position{Config.Daemons, i, firstDaemon(domain + 1) - first,
+                           i - first};
+    for (size_t d = 0; d < Config.Domains; ++d)
+      position.Domains.push_back(
+          {DomainId(domainName(d)), firstDaemon(d + 1) - firstDaemon(d)});
+    bench.Router.setFleet(position);
   }
   void tickAll() {
     ServerSink wire(*this);
@@ -251,6 +258,11 @@
     startCall(newCall());
     double rate =
         Config.PerSecond * (isWithin(Config.Burst) ? Config.BurstFactor : 1);
+    if (Config.RatesAt) {
+      std::vector<double> rates = Config.RatesAt(Now - Start);
+      rate *= std::accumulate(rates.begin(), rates.end(), 0.0) /
+              static_cast<double>(rates.size());
+    }
     double gap = -std::log(1 - Random.nextDouble()) / rate;
     TimePoint next = Now + Duration(static_cast<int64_t>(gap * 1e6));
     if (next < Until)
@@ -259,13 +271,13 @@
   Call newCall() {
     Call call;
     call.Began = Now;
-    if (!Config.DomainRates.empty()) {
-      double sum = std::accumulate(Config.DomainRates.begin(),
-                                   Config.DomainRates.end(), 0.0);
+    std::vector<double> rates =
+        Config.RatesAt ? Config.RatesAt(Now - Start) : Config.DomainRates;
+    if (!rates.empty()) {
+      double sum = std::accumulate(rates.begin(), rates.end(), 0.0);
       double at = Random.nextDouble() * sum;
-      while (call.Domain + 1 < Config.Domains &&
-             at >= Config.DomainRates[call.Domain])
-        at -= Config.DomainRates[call.Domain++];
+      while (call.Domain + 1 < Config.Domains && at >= rates[call.Domain])
+        at -= rates[call.Domain++];
     } else if (Config.Domains > 1) {
       call.Domain = Random.below(Config.Domains);
     }
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -168,7 +168,13 @@
                          1,
                          true,
                          {VmId("vm-1"), VmId("vm-2")}},
-          PublishedDigest{{{{12}, {10}, 77, {9}, 5, Duration(3)}}, true},
+          PublishedDigest{
+              {{{12}, {10}, 77, {9}, 5, Duration(3)}},
+              true,
+              false,
+              false,
+              false,
+              {{{1, 2, 3.5, 0.5, Duration(300'000), 4.5, 0.25}}, false}},
           PublishedRequest{{{{12}, {}}, {{11}, {1, 0}}}},
           publishedUpdate()};
 }
