Repeat a key claim while another attempt is in progress

Callers saw "unknown key-in-progress", for up to the key memory, after they had been told that their request had not run (RollingRestart under the thread sanitizer).

Cause: an entry tells its caller at once and sends the attempt's ending to the replicas without waiting. The caller comes back through another entry before a starved replica has handled that ending. The entry took the reply "in progress" as final.

Change: the claim is repeated, with a growing delay, for 1.5 to 2 s and at most half of the caller's time (EndingWait). "In progress" stays in force until the same replica replies otherwise, so that a request runs only if every replica grants it, as before. A known outcome ends the wait at once. When a replica that replied "in progress" departs, the present ones are all asked again, as for a claim that starts then. Nothing in the protocol changes, so daemons of the previous version may be entries or replicas. Recordings without the new setting read 0 and replay as they were.

The same fault at the replica: an entry sends without a lock, so an ending may pass its own claim, and the key was then held until it expired. Found by reading the code, not seen in a log. A replica no longer stores a claim of an attempt that it knows as not run.

Why it works: the ending is on its way on a connection that is drained, so a later claim meets a free key. It does not help if a replica is starved for more than EndingWait, or if the ending was lost with its connection.

Price: the repeat of a request that really runs is refused after 1.5 to 2 s instead of at once.

--- a/Balsamrack/Flows/EntryPacket.h
+++ b/Balsamrack/Flows/EntryPacket.h
@@ -38,6 +38,11 @@
   KeyClaims Keys;                          ///< Used when claimsKey().
   TimePoint ClaimResendUntil;              ///< Claims are not resent after this
                                            ///< time.
+  TimePoint EndingAwaitedUntil;            ///< Another attempt that is in
+                                           ///< progress refuses the key after
+                                           ///< this time.
+  Duration ClaimResendDelay{0};            ///< Delay of the next claim while
+                                           ///< another attempt is in progress.
   bool ClaimResendDue = false;             ///< The timer is set for resending
                                            ///< claims.
   FlowSearch Search;                       ///< Used while SearchingFlow.
--- a/Balsamrack/Flows/EntryPlacement.cpp
+++ b/Balsamrack/Flows/EntryPlacement.cpp
@@ -49,12 +49,58 @@
 }
 
 void EntryRouter::State::resendKeyClaims(EntryPacket &p) {
+  if (p.Keys.isHeldInProgress()) {
+    if (Now >= p.EndingAwaitedUntil)
+      return evaluateKeyClaims(p);
+    p.ClaimResendDelay = std::min(2 * p.ClaimResendDelay, Settings.RetryAfter);
+  }
   for (const EntryVm &vm : p.Keys.resetForResend(View->KeyReplicas))
     Actions.emplace_back(SendClaim{vm, {p.Head.Key, p.Head.Request}});
   setTimer(p, std::min(p.Deadline, Now + Settings.ClaimTimeout));
   evaluateKeyClaims(p);
 }
 
+void EntryRouter::State::startClaimWaits(EntryPacket &p) {
+  p.ClaimResendUntil = Now + Settings.ClaimTimeout;
+  p.ClaimResendDelay = Settings.ClaimRepeat;
+  // Leave the caller as much time as it waits, to act on the refusal. The
+  // jitter lets one of two attempts that each hold the key at one replica end
+  // before the other one, which then runs.
+  const Duration wait = std::min(Settings.EndingWait, p.Head.Remaining / 2);
+  if (wait <= Duration::zero())
+    return;
+  const auto jitter = static_cast<uint64_t>(wait.count() / 4);
+  p.EndingAwaitedUntil =
+      Now + wait - Duration(static_cast<int64_t>(Random.below(jitter + 1)));
+}
+
+std::optional<Duration>
+EntryRouter::State::claimResendDelay(const EntryPacket &p) const {
+  // An attempt in progress may have ended as not run, and its caller may have
+  // come back, before a replica has handled that ending.
+  if (p.Keys.isHeldInProgress()) {
+    const Duration rest = p.EndingAwaitedUntil - Now;
+    if (rest <= Duration::zero())
+      return std::nullopt;
+    // The last claim is sent early enough for its reply to count.
+    return rest <= Settings.ClaimRepeat
+               ? rest
+               : std::min(p.ClaimResendDelay, rest - Settings.ClaimRepeat);
+  }
+  // During a rolling restart one replica may have stopped granting keys while
+  // the other has not received its hand-over yet, or this daemon has just
+  // started and knows no peers. Refusing at once would end the request with an
+  // unknown outcome, although a replica with the key's history becomes
+  // available shortly. A replica that is leaving may need all the time that the
+  // caller has left.
+  const TimePoint until = p.Keys.awaitsHandOver(View->KeyReplicas)
+                              ? p.Deadline
+                              : p.ClaimResendUntil;
+  if (Now < until && p.Keys.mayBecomeGranted(View->KeyReplicas, Settings))
+    return Settings.ClaimRepeat;
+  return std::nullopt;
+}
+
 void EntryRouter::State::evaluateKeyClaims(EntryPacket &p) {
   KeyClaims::Result result = p.Keys.evaluate(Settings);
   if (result == KeyClaims::Result::Waiting)
@@ -63,18 +109,10 @@
     explain(p, DecisionKind::KeyJudged, "key-granted", "may run", {}, {});
     return place(p);
   }
-  // Resend the claims for a while before refusing. During a rolling restart one
-  // replica may have stopped granting keys while the other has not received its
-  // hand-over yet, or this daemon has just started and knows no peers. Refusing
-  // at once would end the request with an unknown outcome, although a replica
-  // with the key's history becomes available shortly.
-  // A replica that is leaving may need all the time that the caller has left.
-  const TimePoint until = p.Keys.awaitsHandOver(View->KeyReplicas)
-                              ? p.Deadline
-                              : p.ClaimResendUntil;
-  if (Now < until && p.Keys.mayBecomeGranted(View->KeyReplicas, Settings)) {
+  // Resend the claims for a while before refusing.
+  if (std::optional<Duration> delay = claimResendDelay(p)) {
     p.ClaimResendDue = true;
-    return setTimer(p, std::min(p.Deadline, Now + Settings.ClaimRepeat));
+    return setTimer(p, std::min(p.Deadline, Now + *delay));
   }
   Reason why = p.Keys.refusalReason();
   explain(p, DecisionKind::KeyJudged, reasonName(why),
--- a/Balsamrack/Flows/EntryRouter.cpp
+++ b/Balsamrack/Flows/EntryRouter.cpp
@@ -89,7 +89,7 @@
   if (!p.claimsKey())
     return place(p);
   p.CurrentPhase = EntryPacket::Phase::ClaimingKey;
-  p.ClaimResendUntil = Now + Settings.ClaimTimeout;
+  startClaimWaits(p);
   sendKeyClaims(p);
   evaluateKeyClaims(p);
 }
--- a/Balsamrack/Flows/EntryRouterState.h
+++ b/Balsamrack/Flows/EntryRouterState.h
@@ -76,6 +76,8 @@
                bool byToken, const char *rule);
   void sendKeyClaims(EntryPacket &p);
   void resendKeyClaims(EntryPacket &p);
+  void startClaimWaits(EntryPacket &p);
+  std::optional<Duration> claimResendDelay(const EntryPacket &p) const;
   void setTimer(EntryPacket &p, TimePoint when);
   FlowId rankKey(const EntryPacket &p) const;
   bool consumeRetry(const EntryPacket &p);
--- a/Balsamrack/Flows/EntrySettings.cpp
+++ b/Balsamrack/Flows/EntrySettings.cpp
@@ -14,7 +14,8 @@
   if (KeyReplicaCount == 0)
     return wrong("entry: guardian count must be at least 1");
   if (QuestionTimeout <= Duration::zero() || ClaimTimeout <= Duration::zero() ||
-      RetryAfter <= Duration::zero() || Linger < Duration::zero())
+      RetryAfter <= Duration::zero() || Linger < Duration::zero() ||
+      EndingWait < Duration::zero())
     return wrong("entry: timeouts must be positive");
   if (KeyMemory < Duration(1'000'000))
     return wrong("entry: key memory must be at least a second");
--- a/Balsamrack/Flows/EntrySettings.h
+++ b/Balsamrack/Flows/EntrySettings.h
@@ -44,6 +44,12 @@
                ///< keys: a hand-over takes some milliseconds, and updates of
                ///< the membership take up to a probe period. Resending ends
                ///< after ClaimTimeout.
+  Duration EndingWait{
+      2'000'000}; ///< How long claims are repeated while another attempt is in
+                  ///< progress, but at most half of the caller's time. Its
+                  ///< ending may be on its way: a starved replica handled one
+                  ///< more than 0.5 s after its caller was told. 0 refuses at
+                  ///< once.
   uint32_t KeyReplicaCount = 2; ///< Replicas of a key; two survive the death of
                                 ///< one.
   Duration KeyMemory{
--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -30,13 +30,19 @@
                                                const EntrySettings &settings) {
   // A replica that died without replying can no longer refuse the key.
   bool anyDeparted = false;
+  bool lostInProgress = false;
   for (Replica &it : Replicas) {
     if (it.Status == State::Waiting && isUnreachable(view, it.Vm.Id))
       it.Status = State::NoAnswer;
     if (it.Departed || isMember(view, it.Vm.Id))
       continue;
     it.Departed = anyDeparted = true;
-    if (it.Status != State::Answered)
+    // It will not report the ending of an attempt that it knows as in progress.
+    // The present replicas decide.
+    bool inProgress =
+        it.Status == State::Answered && it.Verdict == KeyVerdict::InProgress;
+    lostInProgress = lostInProgress || inProgress;
+    if (it.Status != State::Answered || inProgress)
       it.Status = State::Dead;
   }
   bool anyUnreachable = false;
@@ -62,11 +68,12 @@
   }
   // Ask replicas that replied Fresh again: one that left has handed its keys to
   // them since. Judging by the earlier reply would refuse a key that can be
-  // granted.
+  // granted. If the one that left knew another attempt, ask all again, as a
+  // claim that starts now would: the hand-over may have told them of it.
   for (size_t i = 0; anyDeparted && i < before; ++i) {
     Replica &it = Replicas[i];
-    if (it.Status != State::Answered || it.Verdict != KeyVerdict::Fresh ||
-        it.Departed)
+    if (it.Status != State::Answered || it.Departed ||
+        (it.Verdict != KeyVerdict::Fresh && !lostInProgress))
       continue;
     it.Status = State::Waiting;
     toSend.push_back(it.Vm);
@@ -91,7 +98,10 @@
 bool KeyClaims::recordReply(const VmId &from, KeyVerdict verdict,
                             bool leaving) {
   Replica *g = find(from);
-  if (!g || g->Status == State::Answered || !g->Sent)
+  if (!g || !g->Sent)
+    return false;
+  if (g->Status == State::Answered && (g->Verdict != KeyVerdict::InProgress ||
+                                       verdict == KeyVerdict::InProgress))
     return false;
   g->Status = verdict == KeyVerdict::Unable ? State::NoAnswer : State::Answered;
   g->Verdict = verdict;
@@ -119,10 +129,20 @@
 }
 
 const KeyClaims::Replica *KeyClaims::findReplicaKnowingKey() const {
-  for (const Replica &it : Replicas)
-    if (it.Status == State::Answered && knowsKey(it.Verdict))
-      return &it;
-  return nullptr;
+  const Replica *found = nullptr;
+  for (const Replica &it : Replicas) {
+    if (it.Status != State::Answered || !knowsKey(it.Verdict))
+      continue;
+    // One that knows the outcome is newer than one that lacks it.
+    if (!found || found->Verdict == KeyVerdict::InProgress)
+      found = &it;
+  }
+  return found;
+}
+
+bool KeyClaims::isHeldInProgress() const {
+  const Replica *it = findReplicaKnowingKey();
+  return it && it->Verdict == KeyVerdict::InProgress;
 }
 
 bool KeyClaims::hasMissingReply() const {
@@ -207,6 +227,9 @@
   for (Replica &it : Replicas) {
     bool fresh =
         it.Status == State::Answered && it.Verdict == KeyVerdict::Fresh;
+    if (it.Status == State::Answered && it.Verdict == KeyVerdict::InProgress &&
+        !it.Departed)
+      toSend.push_back(it.Vm);
     if (!isUnable(it) && !isLeaving(it, view) && !fresh)
       continue;
     it.Status = State::Waiting;
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -34,8 +34,9 @@
   std::vector<EntryVm> updateReplicas(const KeyDigest &key,
                                       const KeyReplicaView &view,
                                       const EntrySettings &settings);
-  /// Records a reply; false if it is unsolicited or a duplicate. \p leaving is
-  /// true if the replica has handed its keys over.
+  /// Records a reply; false if it is unsolicited or changes nothing. A later
+  /// reply replaces "in progress", which the ending of that attempt changes.
+  /// \p leaving is true if the replica has handed its keys over.
   bool recordReply(const VmId &from, KeyVerdict verdict, bool leaving = false);
   /// Records that a replica will not reply; false if no reply was outstanding.
   bool recordNoReply(const VmId &from);
@@ -50,6 +51,9 @@
   bool isProvenNotRun(const EntrySettings &settings) const;
   /// True if a replica that may be alive did not reply.
   bool hasMissingReply() const;
+  /// True if the request must not run only because another attempt is in
+  /// progress, as far as the replicas know: no replica knows its outcome yet.
+  bool isHeldInProgress() const;
   /// True if pending updates may still turn Refuse into Run: a replica is
   /// leaving and handing over its keys, or this daemon has just started and
   /// knows fewer daemons than a key has replicas. \p view is the current one.
@@ -58,7 +62,8 @@
   /// True if a replica is leaving and no longer grants keys. Until it has left,
   /// the key cannot be granted; then the next replicas have its keys.
   bool awaitsHandOver(const KeyReplicaView &view) const;
-  /// Discards the replies that such updates may change. Returns the replicas to
+  /// Discards the replies that such updates may change, except "in progress",
+  /// which holds until the replica replies otherwise. Returns the replicas to
   /// send the same claim to again. \p view is the current one.
   std::vector<EntryVm> resetForResend(const KeyReplicaView &view);
   /// State of each replica as one line, such as "vm-1 granted, vm-2 waiting".
--- a/Balsamrack/Flows/KeyStore.cpp
+++ b/Balsamrack/Flows/KeyStore.cpp
@@ -233,6 +233,10 @@
     reply.Leaving = true;
     return reply;
   }
+  // The claim was overtaken by its attempt's ending, after which nobody would
+  // free the key.
+  if (shard.Freed.count(claim.Request))
+    return reply;
   if (it == shard.Records.end()) {
     // If full, refuse the claim instead of evicting a key that may have run.
     if (shard.Records.size() >= Settings.MaxKeys / Settings.Shards)
--- a/Balsamrack/Flows/KeyStore.h
+++ b/Balsamrack/Flows/KeyStore.h
@@ -53,8 +53,9 @@
   create(const KeyStoreSettings &settings, TimePoint started);
   ~KeyStore();
 
-  /// Evaluates a claim, and stores it before returning. \p view is this
-  /// daemon's current view, and \p self its id.
+  /// Evaluates a claim, and stores it before returning. A claim of an attempt
+  /// that is known not to have run is answered Unable. \p view is this daemon's
+  /// current view, and \p self its id.
   KeyReply claim(TimePoint now, const KeyClaim &claim,
                  const KeyReplicaView &view, const VmId &self);
   /// Records the ending of an attempt. An attempt that did not run holds the
--- a/Balsamrack/Replay/TraceCodec.cpp
+++ b/Balsamrack/Replay/TraceCodec.cpp
@@ -40,6 +40,8 @@
   ar("question_candidates", m.Settings.QuestionCandidates);
   ar("question_timeout_us", m.Settings.QuestionTimeout);
   ar("claim_timeout_us", m.Settings.ClaimTimeout);
+  // Missing in recordings of versions that refused at once, which 0 does too.
+  ar("ending_wait_us", m.Settings.EndingWait);
   ar("guardian_count", m.Settings.KeyReplicaCount);
   ar("key_memory_us", m.Settings.KeyMemory);
   ar("assume_no_earlier_keys", m.Settings.AssumeNoEarlierKeys);
