Tell not-run when a sure replica contradicts "in progress"

Change: if such replies are left when the wait is over, the request ends not-run with a time, and its caller may come back. Granted has always been taken as that proof if the other replica was silent: each run is confirmed by every replica, so one that is sure and does not know the other attempt proves that it did not run. Under RunWithReachable it is no proof, as before, and the outcome stays unknown. Two "in progress", or one with a Fresh reply, stay unknown too.

--- a/Balsamrack/Flows/KeyClaims.cpp
+++ b/Balsamrack/Flows/KeyClaims.cpp
@@ -178,11 +178,13 @@
 
 bool KeyClaims::isProvenNotRun(const EntrySettings &settings) const {
   // Under the policy Refuse, each run was confirmed by every replica, so a
-  // replica that would know of a run and does not proves that there was none.
-  // Under the other policy, the key may have run on the other side of a network
-  // partition.
+  // replica that would know of a run and does not proves that there was none,
+  // also if another one still lists an attempt as in progress: its ending is on
+  // its way. Under the other policy, the key may have run on the other side of
+  // a network partition.
+  const Replica *knowing = findReplicaKnowingKey();
   return settings.OnUnreachableReplica == UnreachableReplicaPolicy::Refuse &&
-         !findReplicaKnowingKey() &&
+         (!knowing || knowing->Verdict == KeyVerdict::InProgress) &&
          std::any_of(Replicas.begin(), Replicas.end(), [](const Replica &it) {
            return it.Status == State::Answered &&
                   it.Verdict == KeyVerdict::Granted;
--- a/Balsamrack/Flows/KeyClaims.h
+++ b/Balsamrack/Flows/KeyClaims.h
@@ -47,7 +47,8 @@
   /// Why the request must not run. Precondition: evaluate() returned Refuse.
   Reason refusalReason() const;
   /// True if a replica confirmed that no earlier attempt ran, although the
-  /// request must not run because another replica's reply is missing.
+  /// request must not run because another replica's reply is missing or reports
+  /// an attempt in progress.
   bool isProvenNotRun(const EntrySettings &settings) const;
   /// True if a replica that may be alive did not reply.
   bool hasMissingReply() const;
--- a/UnitTests/Flows/KeyLateEndingTest.cpp
+++ b/UnitTests/Flows/KeyLateEndingTest.cpp
@@ -38,7 +38,9 @@
                     DelayedEnding{"OneReplicaLong", false, 1'400, "running"},
                     DelayedEnding{"BothReplicas", true, 30, "running"},
                     DelayedEnding{"BothReplicasLong", true, 1'400, "running"},
-                    DelayedEnding{"TooLong", false, 2'000,
+                    DelayedEnding{"OneReplicaTooLong", false, 2'000,
+                                  "not-run/key-in-progress"},
+                    DelayedEnding{"BothReplicasTooLong", true, 2'000,
                                   "unknown/key-in-progress"}),
     [](const auto &info) { return std::string(info.param.Name); });
 
@@ -93,7 +95,7 @@
   }
   const std::set<std::string> results{cluster.resultOf(1), cluster.resultOf(2)};
   EXPECT_EQ(results,
-            (std::set<std::string>{"running", "unknown/key-in-progress"}));
+            (std::set<std::string>{"running", "not-run/key-in-progress"}));
 }
 
 // A replica that still lists the attempt leaves, and passes the ending on to
