--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -25,7 +25,7 @@
 #include "Balsamrack/Packets/PacketSpeeds.h"
 #include "Balsamrack/Packets/ServerTable.h"
 #include "Balsamrack/Published/LoadReports.h"
-#include "Balsamrack/Settings/LoadSettings.h"
+#include "Balsamrack/Packets/LoadSettings.h"
 
 namespace balsamrack {
 
--- a/Balsamrack/Settings/PacketSettings.h
+++ b/Balsamrack/Settings/PacketSettings.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "Balsamrack/Settings/LoadSettings.h"
+#include "Balsamrack/Packets/LoadSettings.h"
 #include "Balsamrack/Settings/Settings.h"
 
 namespace balsamrack {
