--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -17,6 +17,7 @@
 #include "Balsamrack/Packets/FleetPosition.h"
 #include "Balsamrack/Packets/FlowExplanation.h"
 #include "Balsamrack/Packets/HeldOpenings.h"
+#include "Balsamrack/Packets/LoadSettings.h"
 #include "Balsamrack/Packets/OpeningQueue.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
 #include "Balsamrack/Packets/PacketFlowTable.h"
@@ -25,7 +26,6 @@
 #include "Balsamrack/Packets/PacketSpeeds.h"
 #include "Balsamrack/Packets/ServerTable.h"
 #include "Balsamrack/Published/LoadReports.h"
-#include "Balsamrack/Packets/LoadSettings.h"
 
 namespace balsamrack {
 
