--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "UnitTests/Packets/LoadedSiteOptions.h"
 #include "UnitTests/Packets/PacketRouterHarness.h"
 
 namespace balsamrack {
@@ -24,62 +25,10 @@
 /// attempt twice, and leave at their timeout.
 class LoadedSite {
 public:
-  /// A time span since the start; empty by default.
-  struct Span {
-    Duration From{0};
-    Duration To{0};
-  };
-  struct Options {
-    size_t Daemons = 9;
-    size_t Servers = 14;
-    size_t Domains = 1; ///< Daemons and servers are divided among them evenly.
-    double PerSecond = 440; ///< Requests per second of all callers.
-    /// Relative rates of the domains' callers; empty: all the same.
-    std::vector<double> DomainRates;
-    bool UseShares = true;              ///< Daemons know the size of the fleet.
-    bool DelayLateOpenings = true;      ///< Late openings wait for free slots.
-    LoadSettings Load;                  ///< Optional decisions under load.
-    OpeningAdmissionSettings Admission; ///< Used if Load.Admission is set.
-    /// As DomainRates, by the time since the start. The rates are multiples of
-    /// an even part of PerSecond.
-    std::function<std::vector<double>(Duration)> RatesAt;
-    Span Outage; ///< All daemons are down meanwhile, and lose their state.
-    Span Burst;  ///< Callers send BurstFactor times as much.
-    double BurstFactor = 1;
-    Span Loss; ///< The first LostServers of each domain do not answer.
-    size_t LostServers = 0;
-    Span Slowness; ///< Every SlowStride-th server is SlowFactor times slower.
-    size_t SlowStride = 4;
-    double SlowFactor = 1;
-    std::vector<double> Speeds{1}; ///< By server index, repeated.
-    /// Log-normal service times (spread .5), 3% of them seven times as long,
-    /// with the same mean; otherwise uniform from half to one and a half of it.
-    bool MixedTimes = false;
-    double UrgentPart = 0; ///< Part of the requests on a route of priority 1;
-                           ///< all others have priority 2.
-    double HotCallerPart = 0;  ///< Part of the requests of one single caller.
-    bool ShedWhenFull = false; ///< A server with a full queue fails requests;
-                               ///< otherwise it does not answer them.
-    uint64_t Seed = 1;
-  };
-  /// Counts of the calls that began within the measured interval.
-  struct Counts {
-    int Asked = 0;
-    int InTime = 0;
-    int Late = 0;
-    int lost() const { return Asked - InTime - Late; }
-  };
-  struct Result : Counts {
-    Counts Urgent;                ///< Those on the route of priority 1.
-    Counts HotCaller;             ///< Those of the single caller.
-    std::vector<Counts> ByDomain; ///< By the domain of the callers.
-    int Refused = 0;              ///< Openings that daemons reset.
-    int Sheds = 0;                ///< Requests that full servers failed.
-    int Openings = 0;             ///< Openings that reached servers.
-    double MeanWaitMillis = 0;    ///< Mean time in the servers' queues.
-    double BusiestToMean = 0;     ///< Busy time of servers, highest to mean.
-    Duration Slowest99{0};        ///< 99th percentile of answer times.
-  };
+  using Span = SimulatedSpan;
+  using Options = LoadedSiteOptions;
+  using Counts = CallCounts;
+  using Result = LoadedSiteResult;
 
   explicit LoadedSite(const Options &options)
       : Config(options), Random(options.Seed), Servers(options.Servers) {
