--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -502,6 +502,9 @@
                 reinterpret_cast<sockaddr *>(&a), sizeof a);
 }
 
+/// One way between a client and the platform's routers or the servers.
+constexpr Millis ClientDelayMs = 3;
+
 /// Everything that was broken, in the words of the rule.
 static std::vector<std::string> Broken;
 static void broken(const std::string &what) {
@@ -764,6 +767,10 @@
   bool Frozen = false;
 };
 static std::vector<Daemon> Daemons;
+/// Only planned work disturbs the daemons; it excuses no reset.
+static bool IsPlannedWork;
+
+static std::string Binary, Folder;
 
 static void startDaemon(Daemon &daemon, const std::string &binary,
                         const std::string &folder) {
@@ -876,7 +883,7 @@
 
 static uint32_t NextRequest = 1;
 
-struct ClientFlow {
+struct ClientFlow : std::enable_shared_from_this<ClientFlow> {
   FlowKey Key{};
   int Fd = -1;
   uint32_t FirstSeq = 0, Next = 0, Acked = 0, Echo = 0;
@@ -910,9 +917,19 @@
   p.Echo = flags & Syn ? 0 : flow.Echo;
   p.Data = data;
   p.Sum = keyedSum(p);
-  flow.LastDaemon = selectDaemon(flow.Key);
   flow.LastPacketAt = now();
-  sendTo(flow.Fd, flow.LastDaemon->At, PacketPort, encode(p));
+  auto of = flow.shared_from_this();
+  TheLoop.after(ClientDelayMs, [of, bytes = encode(p)] {
+    of->LastDaemon = selectDaemon(of->Key);
+    sendTo(of->Fd, of->LastDaemon->At, PacketPort, bytes);
+    if (bytes[22] & Syn)
+      record("client: opens %s, copy %u, through %s", of->Key.str().c_str(),
+             get(bytes.data() + 27, 4), of->LastDaemon->Name.c_str());
+    else if (bytes.size() > HeaderBytes)
+      record("client: sends %s on %s through %s",
+             std::string(bytes.begin() + HeaderBytes, bytes.end()).c_str(),
+             of->Key.str().c_str(), of->LastDaemon->Name.c_str());
+  });
 }
 static void end(ClientFlow &flow, const char *how) {
   if (flow.Ended)
@@ -942,8 +959,6 @@
   flow->RequestSeq = flow->Next;
   flow->Next += static_cast<uint32_t>(flow->Request.size());
   sendPacket(*flow, Ack, flow->RequestSeq, flow->Acked, flow->Request);
-  record("client: sends %s on %s through %s", flow->Request.c_str(),
-         flow->Key.str().c_str(), flow->LastDaemon->Name.c_str());
   retransmit(flow, flow->RequestSeq, 200, now() + 2000);
 }
 
@@ -964,8 +979,6 @@
       if (flow->Established || flow->Ended)
         return;
       sendPacket(*flow, Syn, flow->FirstSeq, static_cast<uint32_t>(copy));
-      record("client: opens %s, copy %d, through %s", flow->Key.str().c_str(),
-             copy, flow->LastDaemon->Name.c_str());
     });
   TheLoop.after(1400, [flow] {
     if (!flow->Established && !flow->Ended) {
@@ -988,8 +1001,9 @@
     const char *excuse = nullptr;
     if (t - server->DisturbedAt < StabilityMs)
       excuse = "the server was disturbed";
-    else if (flow.LastDaemon->Frozen ||
-             t - flow.LastDaemon->DisturbedAt < StabilityMs)
+    else if (!IsPlannedWork &&
+             (flow.LastDaemon->Frozen ||
+              t - flow.LastDaemon->DisturbedAt < StabilityMs))
       excuse = "the machine that took the packet is not in touch";
     else if (t - opened > FlowTtlMs)
       excuse = "the flow is older than flowTtlS";
@@ -1097,7 +1111,9 @@
           return;
         Packet p;
         if (decode(buf, static_cast<size_t>(n), p))
-          handleClientPacket(p, ntohl(from.sin_addr.s_addr));
+          TheLoop.after(ClientDelayMs, [p, from] {
+            handleClientPacket(p, ntohl(from.sin_addr.s_addr));
+          });
       }
     };
     Hosts.push_back(host);
@@ -1112,8 +1128,6 @@
   Millis WorkMs = 20;
   double ColdPerS = 0;
 };
-static std::string Binary, Folder;
-
 static void setUp(const Plan &plan) {
   PacketPort = freePort();
   ReadyPort = freePort();
@@ -1187,6 +1201,42 @@
   TheLoop.run(t + 26000);
 }
 
+/// Stops a daemon and starts it again when it has ended, then the next one.
+static void rollNext(size_t index, Millis gap) {
+  if (index >= Daemons.size())
+    return;
+  record("TROUBLE: SIGTERM to %s", Daemons[index].Name.c_str());
+  Daemons[index].DisturbedAt = now();
+  kill(Daemons[index].Pid, SIGTERM);
+  auto check = std::make_shared<std::function<void()>>();
+  Millis last = now() + 6000;
+  *check = [index, gap, last, check] {
+    Daemon &daemon = Daemons[index];
+    if (now() >= last)
+      kill(daemon.Pid, SIGKILL);
+    if (waitpid(daemon.Pid, nullptr, WNOHANG) == 0)
+      return TheLoop.after(20, *check);
+    record("daemon %s: ended", daemon.Name.c_str());
+    daemon.Pid = -1;
+    TheLoop.after(300, [index] {
+      startDaemon(Daemons[index], Binary, Folder);
+    });
+    TheLoop.after(300 + gap, [index, gap] { rollNext(index + 1, gap); });
+  };
+  (*check)();
+}
+
+/// The daemons are stopped and started again, one after the other.
+static void playRoll(bool trouble) {
+  IsPlannedWork = true;
+  setUp({6, 6, 6, 0});
+  Millis t = now();
+  traffic(t, t + 30000, 2.5, 2, 5000);
+  if (trouble)
+    TheLoop.at(t + 3000, [] { rollNext(0, 2000); });
+  TheLoop.run(t + 38000);
+}
+
 /// Another writer leaves an entry in the store whose service no configuration
 /// names, at the address of a live server.
 static void playForeignEntry(bool trouble) {
@@ -1207,6 +1257,24 @@
   TheLoop.run(t + 20000);
 }
 
+/// Another writer leaves an entry with a missing field and a huge count.
+static void playForeignSlots(bool trouble) {
+  setUp({4, 4, 20, 0});
+  Millis t = now();
+  traffic(t, t + 20000, 25, 1, 0);
+  if (trouble)
+    TheLoop.at(t + 6000, [] {
+      record("TROUBLE: another writer leaves an entry");
+      TheStore.write(
+          "servers/i-0a11ce05",
+          text("{\"service\":\"desk\",\"address\":\"127.82.0.99:%u\","
+               "\"zone\":\"z-a\",\"slots\":4000000000,"
+               "\"state\":\"ready\",\"coldLeftMs\":0,\"born\":%llu}",
+               ServerPort, (unsigned long long)unixMillis()));
+    });
+  TheLoop.run(t + 22000);
+}
+
 /// The openings that each cold server took: sent at, arrived at.
 static std::map<Server *, std::deque<std::pair<Millis, Millis>>> ColdOpenings;
 static std::map<Server *, size_t> MaxCold;
@@ -1271,8 +1339,12 @@
   RandomState ^= unixMillis() * 2654435761u;
   if (scenario == "freeze")
     playFreeze(trouble);
+  else if (scenario == "roll")
+    playRoll(trouble);
   else if (scenario == "foreign-entry")
     playForeignEntry(trouble);
+  else if (scenario == "foreign-slots")
+    playForeignSlots(trouble);
   else if (scenario == "cold-restart")
     playColdRestart(trouble);
   else
