--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 # The stand-in ends the daemons; if it is killed itself, the kernel does.
-timeout -k 5 110 review/bin/world foreign-entry "${TROUBLE:-1}" \
+timeout -k 5 110 review/bin/world huge-count "${TROUBLE:-1}" \
   target/balsamrack-packetd "$folder" "$here/record.txt"
 code=$?
 [ $code -le 1 ] && exit $code
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -1257,13 +1257,32 @@
   TheLoop.run(t + 20000);
 }
 
-/// Another writer leaves an entry with a missing field and a huge count.
-static void playForeignSlots(bool trouble) {
+/// Processor time of a daemon so far.
+static Millis processorTime(pid_t pid) {
+  FILE *file = fopen(text("/proc/%d/stat", pid).c_str(), "r");
+  if (!file)
+    return 0;
+  char line[1024] = "";
+  (void)!fgets(line, sizeof line, file);
+  fclose(file);
+  unsigned long user = 0, kernel = 0;
+  const char *rest = strrchr(line, ')');
+  if (rest)
+    sscanf(rest + 1, " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+           &user, &kernel);
+  return static_cast<Millis>(user + kernel) * 1000 /
+         static_cast<Millis>(sysconf(_SC_CLK_TCK));
+}
+
+/// Another writer leaves an entry in the store that lacks fields and has a huge
+/// count. Checks that the daemons serve and hand back the processor.
+static void playHugeCount(bool trouble) {
   setUp({4, 4, 20, 0});
   Millis t = now();
-  traffic(t, t + 20000, 25, 1, 0);
+  constexpr Millis TroubleAt = 6000, CheckFrom = 10000, CheckTo = 20000;
+  traffic(t, t + CheckTo + 1000, 25, 1, 0);
   if (trouble)
-    TheLoop.at(t + 6000, [] {
+    TheLoop.at(t + TroubleAt, [] {
       record("TROUBLE: another writer leaves an entry");
       TheStore.write(
           "servers/i-0a11ce05",
@@ -1272,7 +1291,27 @@
                "\"state\":\"ready\",\"coldLeftMs\":0,\"born\":%llu}",
                ServerPort, (unsigned long long)unixMillis()));
     });
-  TheLoop.run(t + 22000);
+  std::map<pid_t, Millis> used;
+  size_t answered = 0;
+  TheLoop.at(t + CheckFrom, [&] {
+    answered = Answered;
+    for (Daemon &it : Daemons)
+      used[it.Pid] = processorTime(it.Pid);
+  });
+  TheLoop.at(t + CheckTo, [&] {
+    for (Daemon &it : Daemons)
+      record("%s: %.0f ms of processor time in %.0f ms", it.Name.c_str(),
+             processorTime(it.Pid) - used[it.Pid], CheckTo - CheckFrom);
+    record("requests answered in that time: %zu", Answered - answered);
+    if (Answered == answered)
+      broken(text("Fault: from %.0f to %.0f s no request was served, though "
+                  "all servers and daemons ran undisturbed",
+                  (t + CheckFrom) / 1000, (t + CheckTo) / 1000));
+    for (Daemon &it : Daemons)
+      if (processorTime(it.Pid) - used[it.Pid] > 0.9 * (CheckTo - CheckFrom))
+        broken("Fault: " + it.Name + " doesn't hand back the processor");
+  });
+  TheLoop.run(t + CheckTo + 3000);
 }
 
 /// The openings that each cold server took: sent at, arrived at.
@@ -1343,8 +1382,8 @@
     playRoll(trouble);
   else if (scenario == "foreign-entry")
     playForeignEntry(trouble);
-  else if (scenario == "foreign-slots")
-    playForeignSlots(trouble);
+  else if (scenario == "huge-count")
+    playHugeCount(trouble);
   else if (scenario == "cold-restart")
     playColdRestart(trouble);
   else
