--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -184,21 +184,34 @@
     cannotRun("bind of a TCP port: " + std::string(strerror(errno)));
   return fd;
 }
+/// The addresses of which each port has to be free.
+static const char *const UsedAddresses[] = {"127.80.0.1", "127.81.0.1",
+                                            "127.82.0.1", "127.83.0.1"};
+
+static bool isFree(const char *address, uint16_t port) {
+  bool good = true;
+  for (int type : {SOCK_STREAM, SOCK_DGRAM}) {
+    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in a = addressOf(ip(address), port);
+    good = good && bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof a) == 0;
+    close(fd);
+  }
+  return good;
+}
 static uint16_t freePort() {
   static std::set<uint16_t> taken;
   for (int i = 0; i < 100; ++i) {
-    int tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in a = addressOf(INADDR_ANY, 0);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a = addressOf(ip(UsedAddresses[0]), 0);
     socklen_t n = sizeof a;
     uint16_t port = 0;
-    if (bind(tcp, reinterpret_cast<sockaddr *>(&a), sizeof a) == 0 &&
-        getsockname(tcp, reinterpret_cast<sockaddr *>(&a), &n) == 0)
+    if (bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof a) == 0 &&
+        getsockname(fd, reinterpret_cast<sockaddr *>(&a), &n) == 0)
       port = ntohs(a.sin_port);
-    int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    bool good = port != 0 &&
-                bind(udp, reinterpret_cast<sockaddr *>(&a), sizeof a) == 0;
-    close(tcp);
-    close(udp);
+    close(fd);
+    bool good = port != 0;
+    for (const char *it : UsedAddresses)
+      good = good && isFree(it, port);
     if (good && taken.insert(port).second)
       return port;
   }
@@ -492,7 +505,7 @@
 
 static uint16_t PacketPort, ReadyPort, PeerPort, MetricsPort, ServerPort,
     StorePort;
-static const uint32_t RouteIp = ip("198.18.0.1");
+static const uint32_t RouteIp = ip("127.85.0.1");
 constexpr uint16_t RoutePort = 8443;
 static const uint32_t StoreIp = ip("127.80.0.1");
 
@@ -1371,6 +1384,7 @@
   Record = fopen(argv[5], "w");
   if (!Record)
     return 2;
+  setvbuf(Record, nullptr, _IOLBF, 0);
   signal(SIGPIPE, SIG_IGN);
   for (int it : {SIGTERM, SIGINT, SIGHUP})
     signal(it, [](int) { finish(2); });
