Bound what a published entry can cost, and ignore entries of other writers

All daemons used a whole core and reported ready.

Cause: expectedWait() summed over the free slots of each candidate, one by one, for each opening, with an int that cannot reach the number. The decoder had accepted the entry, although it lacks fields that every server writes.

Evidence: three stacks of a hung daemon: its forwarding thread in chooseForOpening() below place(), holding the router's lock, the control plane waiting for the lock in loadReports(). Ruled out by them: slot shares, decoding and exchange of the entry.

Change: the number of terms depends on the mean, at most some 150; a mean over 64 uses the normal approximation. Entries that lack fields, or hold values of another type or out of range, name no server, from the store and from peers alike. Durations and rates of configurations are clamped, since their conversion overflowed.

--- a/Balsamrack/Decisions/OpeningChoice.cpp
+++ b/Balsamrack/Decisions/OpeningChoice.cpp
@@ -30,6 +30,35 @@
   return a.InProgress < b.InProgress;
 }
 
+/// Up to this mean, meanExcessOfFew() needs few terms.
+constexpr double MaxExactMean = 64;
+/// Probability below which the remaining terms of a sum are ignored.
+constexpr double NegligibleChance = 1e-15;
+
+/// Mean excess of a Poisson distributed number with mean \p mean over \p free:
+/// the mean excess over zero, less what the free slots absorb. The number of
+/// terms is bounded by the mean, not by \p free, which comes from outside.
+double meanExcessOfFew(double mean, double free) {
+  double excess = mean - free;
+  double chance = std::exp(-mean);
+  for (int n = 0; n < free && (n <= mean || chance > NegligibleChance); ++n) {
+    excess += (free - n) * chance;
+    chance *= mean / (n + 1);
+  }
+  // Rounding errors of large numbers may leave less than zero.
+  return std::max(0.0, excess);
+}
+
+/// As meanExcessOfFew(), by the normal approximation.
+double meanExcessOfMany(double mean, double free) {
+  const double inverseSqrtTwoPi = 0.3989422804014327;
+  double deviation = std::sqrt(mean);
+  double z = (mean - free) / deviation;
+  double below = std::erfc(-z / std::sqrt(2.0)) / 2;
+  double density = inverseSqrtTwoPi * std::exp(-z * z / 2);
+  return deviation * (z * below + density);
+}
+
 Cost computeCost(const OpeningCandidate &candidate, double othersLoad) {
   return {candidate.Rank, openingCost(candidate, othersLoad),
           candidate.InProgress};
@@ -70,15 +99,10 @@
   double free = slots - 1 - candidate.InProgress;
   // The number of flows of other daemons is modelled as Poisson distributed,
   // since many daemons have few flows each there. The wait is the mean excess
-  // over the free slots: the mean excess over zero, less what the free slots
-  // absorb.
-  double wait = others - free;
-  double chance = std::exp(-others);
-  for (int n = 0; n < free; ++n) {
-    wait += (free - n) * chance;
-    chance *= others / (n + 1);
-  }
-  return wait / slots;
+  // over the free slots.
+  return (others <= MaxExactMean ? meanExcessOfFew(others, free)
+                                 : meanExcessOfMany(others, free)) /
+         slots;
 }
 
 std::optional<OpeningChoice>
--- a/Balsamrack/Peers/PublishedFields.h
+++ b/Balsamrack/Peers/PublishedFields.h
@@ -8,6 +8,7 @@
 #include "Balsamrack/Peers/FieldArchive.h"
 #include "Balsamrack/Peers/LoadReportFields.h"
 #include "Balsamrack/Peers/RouteGroups.h"
+#include "Balsamrack/Published/PublishedLimits.h"
 #include "Balsamrack/Published/PublishedMessages.h"
 
 namespace balsamrack {
@@ -79,6 +80,8 @@
   }
   ar("s", m.Services);
   ar("i", m.IdleTimeout);
+  if constexpr (Ar::Reads)
+    clampToLimits(m);
 }
 
 template <class Ar>
@@ -127,7 +130,12 @@
       auto named = std::make_shared<PublishedServer>(
           *std::get<std::shared_ptr<const PublishedServer>>(m.Content));
       named->Server.Id = ServerId(m.Name);
-      m.Content = std::shared_ptr<const PublishedServer>(std::move(named));
+      // Treated as the decoder of the publishing service treats it, and not as
+      // an error, so that one entry does not block the others.
+      if (isWithinLimits(*named))
+        m.Content = std::shared_ptr<const PublishedServer>(std::move(named));
+      else
+        m.Content = std::monostate();
     }
     return;
   }
--- a/UnitTests/Decisions/OpeningDecisionsTest.cpp
+++ b/UnitTests/Decisions/OpeningDecisionsTest.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <numeric>
 
 #include <gtest/gtest.h>
@@ -76,6 +77,57 @@
   }
 }
 
+/// The mean excess of a Poisson distributed number over the free slots, per
+/// slot, as a sum over all of its terms.
+double waitByDefinition(uint32_t slots, double others) {
+  double wait = 0, logChance = -others;
+  for (int n = 0; n < 2000; ++n) {
+    wait += std::max(0.0, n - (slots - 1.0)) * std::exp(logChance);
+    logChance += std::log(others) - std::log(n + 1.0);
+  }
+  return wait / slots;
+}
+
+struct SlotCount {
+  const char *Name;
+  uint32_t Slots;
+  double OthersLoad;
+};
+
+class EachSlotCount : public testing::TestWithParam<SlotCount> {};
+
+TEST_P(EachSlotCount, ExpectedWaitFollowsItsDefinition) {
+  OpeningCandidate c = candidate(0, 0);
+  c.Slots = GetParam().Slots;
+  double others = c.Slots * GetParam().OthersLoad;
+  EXPECT_NEAR(expectedWait(c, GetParam().OthersLoad),
+              waitByDefinition(c.Slots, others), 1e-3);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Slots, EachSlotCount,
+    testing::Values(SlotCount{"One", 1, 0.5}, SlotCount{"Two", 2, 0.9},
+                    SlotCount{"Sixteen", 16, 1}, SlotCount{"SixtyFour", 64, 1},
+                    SlotCount{"JustBeyondTheSum", 65, 1},
+                    SlotCount{"ManyOverloaded", 500, 1.5},
+                    SlotCount{"ManyIdle", 1000, 0.1},
+                    SlotCount{"ManyBusy", 1000, 0.98}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+// Guards against a published slot count that sets the length of a loop in the
+// placement of each opening: with 4,000,000,000 slots daemons forwarded no
+// packet any more.
+TEST(OpeningChoiceTest, AHugeSlotCountCostsNoTime) {
+  OpeningCandidate c = candidate(0, 0);
+  for (uint32_t slots : {1U << 20, 2'000'000'000U, 4'000'000'000U, UINT32_MAX})
+    for (double load : {0.0, 1e-9, 0.5, 1.0, 3.0}) {
+      c.Slots = slots;
+      double wait = expectedWait(c, load);
+      EXPECT_GE(wait, 0) << slots << " " << load;
+      EXPECT_LE(wait, std::max(0.0, load - 1) + 0.01) << slots << " " << load;
+    }
+}
+
 /// Two candidates; the first one must be chosen.
 struct ChoiceCase {
   const char *Name;
--- a/UnitTests/Peers/PeerCodecTest.cpp
+++ b/UnitTests/Peers/PeerCodecTest.cpp
@@ -102,6 +102,55 @@
   EXPECT_EQ(f.Head.Kind, Semantics::RunOnce);
 }
 
+/// A published server that a peer with other limits passes on.
+struct ServerOutOfRange {
+  const char *Name;
+  void (*Change)(PublishedServer &);
+};
+
+class EachServerOutOfRange : public testing::TestWithParam<ServerOutOfRange> {};
+
+// Guards against values that the decoder of the publishing service rejects and
+// that enter through a peer. Such an entry names no server, and the other
+// objects of the message are used.
+TEST_P(EachServerOutOfRange, IsTreatedAsDeleted) {
+  auto server = std::make_shared<PublishedServer>();
+  server->Server.Service = ServiceId("booking");
+  server->Server.Domain = DomainId("bern-a");
+  server->Server.At = {"10.0.0.1", 8080};
+  PublishedObject good{PublishedSection::Servers,
+                       "i-1",
+                       {5},
+                       std::make_shared<const PublishedServer>(*server)};
+  GetParam().Change(*server);
+  PublishedObject bad{PublishedSection::Servers,
+                      "i-2",
+                      {6},
+                      std::shared_ptr<const PublishedServer>(server)};
+  PublishedUpdate update;
+  update.Changes = {{PublishedSection::Servers, {1}, {6}, {bad, good}}};
+  auto back = decodePeerMessage(encodePeerMessage(update));
+  ASSERT_TRUE(back.ok()) << back.status();
+  const auto &objects = std::get<PublishedUpdate>(*back).Changes[0].Objects;
+  ASSERT_EQ(objects.size(), 2U);
+  EXPECT_TRUE(objects[0].isDeleted());
+  EXPECT_FALSE(objects[1].isDeleted());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Servers, EachServerOutOfRange,
+    testing::Values(
+        ServerOutOfRange{"HugeSlots",
+                         [](auto &s) { s.Server.Slots = 4'000'000'000; }},
+        ServerOutOfRange{"NoSlots", [](auto &s) { s.Server.Slots = 0; }},
+        ServerOutOfRange{"ColdForever",
+                         [](auto &s) { s.ColdLeft = Duration::max(); }},
+        ServerOutOfRange{"ColdInThePast",
+                         [](auto &s) { s.ColdLeft = Duration(-1); }},
+        ServerOutOfRange{"NoService",
+                         [](auto &s) { s.Server.Service = ServiceId(); }}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 struct BadFrame {
   const char *Name;
   std::string Frame;
--- a/UnitTests/UsersPlatform/StorePagesTest.cpp
+++ b/UnitTests/UsersPlatform/StorePagesTest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "Balsamrack/Core/Random.h"
+#include "Balsamrack/Published/PublishedLimits.h"
 #include "Balsamrack/Published/PublishedSource.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
@@ -169,6 +170,18 @@
         BadEntry{"NoSlots", goodServerWith("\"slots\":2", "\"slots\":0")},
         BadEntry{"SlotsAreText",
                  goodServerWith("\"slots\":2", "\"slots\":\"2\"")},
+        BadEntry{"HugeSlots",
+                 goodServerWith("\"slots\":2", "\"slots\":4000000000")},
+        BadEntry{"NoVersion", goodServerWith("\"version\":\"v1\",", "")},
+        BadEntry{"VersionIsANumber", goodServerWith("\"v1\"", "1")},
+        BadEntry{"NoSeq", goodServerWith("\"seq\":4,", "")},
+        BadEntry{"SeqIsText", goodServerWith("\"seq\":4", "\"seq\":\"4\"")},
+        BadEntry{"NoColdLeft", goodServerWith("\"coldLeftMs\":1500,", "")},
+        BadEntry{"ColdLeftIsNegative", goodServerWith("1500", "-1")},
+        BadEntry{"ColdLeftIsText", goodServerWith("1500", "\"1500\"")},
+        BadEntry{"BornIsAFraction", goodServerWith("1700000000000", "1.5")},
+        BadEntry{"BornIsText", goodServerWith("1700000000000", "\"now\"")},
+        BadEntry{"LongService", goodServerWith("huvo", std::string(2000, 'a'))},
         BadEntry{"NoZone",
                  goodServerWith("\"zone\":\"bern-a\"", "\"zone\":null")}),
     [](const auto &info) { return std::string(info.param.Name); });
@@ -228,6 +241,39 @@
   EXPECT_EQ(changes->UpTo, Revision{413});
 }
 
+// Some platforms do not publish when a server started.
+TEST(StorePagesTest, AServerWithoutAStartTimeIsUsed) {
+  size_t unreadable = 0;
+  auto page = decodeListing(
+      Servers,
+      listing(item("servers/i-1", goodServerWith(",\"born\":1700000000000", ""),
+                   5)),
+      unreadable);
+  ASSERT_TRUE(page.ok());
+  EXPECT_EQ(unreadable, 0U);
+}
+
+// Guards against durations that overflow when they are converted or added to a
+// time.
+TEST(StorePagesTest, HugeNumbersOfAConfigurationAreClamped) {
+  std::string huge = R"({"version":8,"routes":[{"host":"198.18.0.1",)"
+                     R"("prefix":"/8080/","service":"huvo","sloMs":1e300,)"
+                     R"("timeoutMs":18446744073709551615}],"services":[)"
+                     R"({"name":"huvo","coldPerS":1e308}],)"
+                     R"("limits":{"idleTimeoutMs":1e300}})";
+  size_t unreadable = 0;
+  auto page =
+      decodeListing(Operators, listing(item("op/config", huge, 5)), unreadable);
+  ASSERT_TRUE(page.ok());
+  ASSERT_EQ(page->Objects.size(), 1U);
+  using Configuration = std::shared_ptr<const OperatorConfiguration>;
+  const auto &c = *std::get<Configuration>(page->Objects[0].Content);
+  EXPECT_EQ(c.Routes[0].Objective, MaxPublishedDuration);
+  EXPECT_EQ(c.Routes[0].Timeout, MaxPublishedDuration);
+  EXPECT_EQ(c.IdleTimeout, MaxPublishedDuration);
+  EXPECT_EQ(c.Services[0].ColdPerSecond, MaxColdPerSecond);
+}
+
 // Any mutation of a valid page is either decoded or rejected, without a crash.
 TEST(StorePagesTest, MutatedPagesAreSafe) {
   SeededRandom random(3);
