Bound the inherited requests of a hand-over message

A hand-over message states how many requests its sender left in progress, and the receiver makes an entry for each in a loop (HTTP carrier). A message with 4,294,967,295 of them used up the receiver's memory.

Change: at most 1,024 are inherited, more than a server has slots.

Result: AHugeInheritedCountIsBounded ends with std::bad_alloc under a limit of 4 GB on the old code (4.5 s), and passes now, as do the other ServiceOwnerTest.

--- a/Balsamrack/Decisions/ServerAdmission.cpp
+++ b/Balsamrack/Decisions/ServerAdmission.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Upper bound of the requests that a previous owner left in progress, more
+/// than a server has slots.
+constexpr uint32_t MaxInheritedRequests = 1024;
+
 /// Upper bound on remaining times, so that sums of times do not overflow on
 /// values supplied by callers.
 constexpr Duration MaxRemaining{3'600'000'000};
@@ -61,7 +65,9 @@
   // Requests that the previous owner left in progress still occupy slots.
   // Without this the server briefly received the work of both owners and shed
   // it.
-  for (uint32_t i = 0; i < owned.InProgress; ++i)
+  // The number comes from a peer.
+  uint32_t inherited = std::min(owned.InProgress, MaxInheritedRequests);
+  for (uint32_t i = 0; i < inherited; ++i)
     Slots.abandon(now, now + InheritedSlotHold, Waits.slow(),
                   owned.LastKnown.Warm);
 }
--- a/UnitTests/Decisions/ServiceOwnerTest.cpp
+++ b/UnitTests/Decisions/ServiceOwnerTest.cpp
@@ -328,6 +328,20 @@
   EXPECT_EQ(f.Dispatched.size(), 1U);
 }
 
+// Guards against a hand-over message with a huge count, which must not hold its
+// receiver up or use up its memory.
+TEST(ServiceOwnerTest, AHugeInheritedCountIsBounded) {
+  OwnerFixture f;
+  OwnedServer handed = f.Config.Servers[0];
+  f.Config.Servers.clear();
+  f.give(f.Config);
+  handed.How = OwnedServer::Origin::HandedOver;
+  handed.InProgress = UINT32_MAX;
+  f.Config.Servers = {handed};
+  f.give(f.Config);
+  EXPECT_LE(f.Owner->report(f.Now)[0].Abandoned, 1024U);
+}
+
 // A daemon shuts down. Its callers' requests must end before it exits, so it is
 // idle only when nothing is running.
 TEST(ServiceOwnerTest, IdleOnceAllHaveEnded) {
