Ignore the negative age of a digest

A digest states how long ago its section was verified. With a negative age the receiver took the section for verified in the future, so it would not have read the publishing service again before that time.

Result: ANegativeAgeVerifiesNothing fails on the old code and passes now; the other StateExchangeTest pass.

--- a/Balsamrack/Published/StateExchangeSync.cpp
+++ b/Balsamrack/Published/StateExchangeSync.cpp
@@ -142,7 +142,10 @@
     // The state that the peer verified as newest is already held here.
     bool held = theirs.CompleteUpTo != Revision{} &&
                 theirs.CompleteUpTo <= Store.completeRevision(section);
-    if (!held || theirs.Age >= MaxVerificationAge)
+    // A negative age would make the state appear verified in the future.
+    bool isValidAge =
+        theirs.Age >= Duration{0} && theirs.Age < MaxVerificationAge;
+    if (!held || !isValidAge)
       continue;
     SectionState &state = at(section);
     TimePoint proved = now - theirs.Age;
--- a/UnitTests/Published/StateExchangeTest.cpp
+++ b/UnitTests/Published/StateExchangeTest.cpp
@@ -321,6 +321,24 @@
                   PublishedSection::Servers));
 }
 
+// Guards against a peer's message with a negative age: the daemon must not take
+// its state for verified in the future, and stop reading.
+TEST(StateExchangeTest, ANegativeAgeVerifiesNothing) {
+  ExchangeSimulation fleet(1, 2, 1);
+  fleet.run(Second * 3);
+  StateExchange &exchange = *fleet.Nodes[0].Exchange;
+  PublishedDigest digest;
+  for (PublishedSection section : AllSections) {
+    SectionDigest one;
+    one.CompleteUpTo = exchange.store().completeRevision(section);
+    one.Age = Duration::min() / 4;
+    digest.Digests.push_back(one);
+  }
+  exchange.handleDigest(fleet.Now, fleet.Nodes[1].Vm, digest);
+  for (PublishedSection section : AllSections)
+    EXPECT_LE(exchange.verifiedAt(section), fleet.Now);
+}
+
 /// Behaviour of the service while daemons start.
 struct Start {
   const char *Name;
