--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -126,10 +126,22 @@
   return HasRoutes && !Leaving && Forwarder->hasProvenReachability();
 }
 
-Answer PacketDaemon::answerReady(const Message &message) const {
+bool PacketDaemon::checkForwarder() {
+  bool isStalled = Forwarder->checkStalled();
+  if (IsStalled.exchange(isStalled) != isStalled)
+    TelemetrySink.log(
+        LogLine(Component::Entry,
+                isStalled ? Severity::Warning : Severity::Info,
+                isStalled ? "forwarder-stalled" : "forwarder-resumed")
+            .number("packets", Forwarder->received()));
+  return !isStalled;
+}
+
+Answer PacketDaemon::answerReady(const Message &message) {
   if (message.Target.substr(0, message.Target.find('?')) != Settings.ReadyPath)
     return {HttpNotFound, {}, ""};
-  return {ready() ? HttpOk : HttpUnavailable, {}, ""};
+  bool isForwarding = checkForwarder();
+  return {isForwarding && ready() ? HttpOk : HttpUnavailable, {}, ""};
 }
 
 void PacketDaemon::onPublishedChanged(const PacketUpdate &update) {
--- a/Balsamrack/Daemon/PacketDaemon.h
+++ b/Balsamrack/Daemon/PacketDaemon.h
@@ -52,13 +52,15 @@
   void onRefreshed() override;
   void onLoadReports(const LoadReports &reports) override;
   LoadReports loadReports() override;
-  Answer answerReady(const Message &message) const;
+  Answer answerReady(const Message &message);
+  bool checkForwarder();
 
   const PacketSettings Settings;
   const Dependencies Deps;
   PacketTelemetry TelemetrySink;
   std::atomic<bool> Leaving{false};
   std::atomic<bool> HasRoutes{false};
+  std::atomic<bool> IsStalled{false}; ///< As the last readiness check found.
   std::unique_ptr<PacketForwarder> Forwarder;
   std::unique_ptr<PacketControlPlane> Control;
   std::unique_ptr<HttpListener> ReadyPort;
--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -268,6 +268,7 @@
     Socket->flush();
     for (const ConnectionAttempt &it : due)
       Prober.start(now, it);
+    Progress.recordProgress();
   }
 }
 
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Balsamrack/Daemon/PacketTelemetry.h"
+#include "Balsamrack/Daemon/ProgressMonitor.h"
 #include "Balsamrack/Packets/ConnectionProber.h"
 #include "Balsamrack/Packets/PacketCodec.h"
 #include "Balsamrack/Packets/PacketRouter.h"
@@ -98,6 +99,8 @@
   std::vector<ForwarderServerStatus> servers();
   /// See PacketRouter. Updated at each iteration and when routes are set.
   bool hasProvenReachability() const { return ProvenReachability.load(); }
+  /// Checks whether the thread has stopped forwarding; see ProgressMonitor.
+  bool checkStalled() { return Progress.checkStalled(Time.now()); }
   /// Number of packets received so far.
   uint64_t received() const { return Received.load(); }
   /// Stops the thread. Idempotent.
@@ -134,6 +137,7 @@
   PacketRouter Router;
   TimePoint StaleUntil; ///< Zero if the routes are fresh.
 
+  ProgressMonitor Progress;
   std::atomic<uint64_t> Received{0};
   std::atomic<bool> ProvenReachability{true};
   std::atomic<bool> Stopping{false};
--- a/UnitTests/Daemon/PacketDaemonTest.cpp
+++ b/UnitTests/Daemon/PacketDaemonTest.cpp
@@ -6,7 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cstdlib>
+#include <cstring>
 #include <list>
 #include <thread>
 
@@ -75,6 +78,32 @@
   std::list<std::thread> Threads;
 };
 
+/// Blocks the thread that decodes a packet, once switched on.
+class BlockingCodec final : public PacketCodec {
+public:
+  std::optional<PacketHeader> decode(const uint8_t *packet,
+                                     size_t n) const override {
+    while (Blocks)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return Base.decode(packet, n);
+  }
+  size_t prefixBytes() const override { return Base.prefixBytes(); }
+  void writePrefix(uint8_t *out, uint64_t tag) const override {
+    Base.writePrefix(out, tag);
+  }
+  void writeToken(uint8_t *packet, uint32_t token) const override {
+    Base.writeToken(packet, token);
+  }
+  size_t writeReset(const PacketHeader &head, uint8_t *out) const override {
+    return Base.writeReset(head, out);
+  }
+
+  std::atomic<bool> Blocks{false};
+
+private:
+  platform::EchoPackets Base;
+};
+
 class PacketDaemonTest : public testing::Test {
 protected:
   PacketDaemonTest()
@@ -96,6 +125,24 @@
   absl::StatusOr<std::unique_ptr<PacketDaemon>> start(DelayedSource &source) {
     return PacketDaemon::create(Settings, {Codec, source, Time, *Log});
   }
+  /// Status of a readiness check, as the fabric makes it.
+  unsigned checkReadiness() {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(Settings.ReadyAddress.Port);
+    to.sin_addr.s_addr = inet_addr(Settings.ReadyAddress.Ip.c_str());
+    char answer[16] = "";
+    const std::string call = "GET /ready HTTP/1.1\r\nHost: vm\r\n"
+                             "Connection: close\r\n\r\n";
+    if (connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0 &&
+        send(fd, call.data(), call.size(), MSG_NOSIGNAL) > 0)
+      (void)!recv(fd, answer, sizeof answer - 1, MSG_WAITALL);
+    close(fd);
+    constexpr size_t StatusOffset = 9; // After "HTTP/1.1 ".
+    return static_cast<unsigned>(
+        strtoul(answer + std::min(StatusOffset, strlen(answer)), nullptr, 10));
+  }
   /// Sends the opening packet of a flow to the daemon.
   void sendOpening(uint8_t caller) {
     // The example packet from the platform's documentation, with another caller
@@ -123,7 +170,7 @@
   const int Null;
   SystemClock Time;
   std::unique_ptr<EventLog> Log;
-  platform::EchoPackets Codec;
+  BlockingCodec Codec;
   ReservedPort PacketsAt, ReadyAt, PeersAt, MetricsAt;
   PacketSettings Settings;
 };
@@ -194,6 +241,20 @@
   EXPECT_TRUE(waitUntil([&] { return (*daemon)->ready(); }));
 }
 
+// Guards against a daemon whose forwarding thread hangs and that goes on
+// reporting ready, so that the fabric goes on sending to it.
+TEST_F(PacketDaemonTest, IsNotReadyWhileItForwardsNothing) {
+  DelayedSource source;
+  auto daemon = start(source);
+  ASSERT_TRUE(daemon.ok()) << daemon.status();
+  ASSERT_TRUE(waitUntil([&] { return checkReadiness() == 200; }));
+  Codec.Blocks = true;
+  sendOpening(1);
+  EXPECT_TRUE(waitUntil([&] { return checkReadiness() == 503; }));
+  Codec.Blocks = false;
+  EXPECT_TRUE(waitUntil([&] { return checkReadiness() == 200; }));
+}
+
 // A VM stops while reads of the publishing service are in progress. Their
 // responses arrive after the daemon is destroyed and must not access it.
 TEST_F(PacketDaemonTest, AnswersThatComeAfterItsEndAreHarmless) {
