Bind the tokens of openings, so that late answers move no open flow

Cause: a caller writes the last token that it received on its packets, also one that comes with an answer which it ignores. When the fabric moves a flow during its handshake, the daemon that placed the opening sees no answer and sends it to up to three further servers. The token of the last late answer then leads a daemon without state for the flow to a server that never had it.

Change: an opening carries the token of its server combined with a hash. It names the server on the first packet only or, on a further try, refers to the server tried before. The number and time of further tries stay as they were. Openings that may be open through another daemon refer to no server. Late copies open no adopted flow again.

Tests: harness and load model now number packets as callers do (the first packet after an opening has the next sequence number). PacketRouterTest expected the plain token on an opening; it now expects it on each later packet, and that a third daemon finds the flow.

--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -198,6 +198,7 @@
       std::lock_guard<std::mutex> hold(Lock);
       StaleUntil = now + MaxStaleTime;
       Router.setStale();
+      Router.setDelayed(true);
     }
     OnPaused();
     return;
@@ -223,8 +224,11 @@
       TelemetrySink.recordEvent(event);
     });
     Received += n;
-    if (n < PacketSocket::BatchSize)
+    if (n < PacketSocket::BatchSize) {
+      // Later packets have not waited.
+      Router.setDelayed(false);
       return;
+    }
   }
 }
 
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -102,7 +102,8 @@
 
 bool PacketTelemetry::isLogged(const PacketEvent &event) {
   if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed ||
-      event.Kind == PacketEventKind::Waited)
+      event.Kind == PacketEventKind::Waited ||
+      event.Reason == PacketReason::SecondAnswer)
     return true;
   uint64_t hash =
       combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -17,7 +17,8 @@
       "no-answer",     "unreachable",       "unknown-token",
       "foreign-token", "no-token",          "not-ready",
       "stale",         "malformed",         "copy",
-      "no-room",       "slower-than-peers", "half-of-slots"};
+      "no-room",       "slower-than-peers", "half-of-slots",
+      "first-packet",  "second-answer"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -41,7 +41,8 @@
   NoAnswer,     ///< All servers that were tried left the opening unanswered.
   Unreachable,  ///< All servers of the service, or the server of the flow, are
                 ///< unreachable.
-  UnknownToken, ///< The token belongs to no server that is known here.
+  UnknownToken, ///< The token belongs to no server that is known here, or comes
+                ///< from the late answer of a server that lacks the flow.
   ForeignToken, ///< The token belongs to a server that the route never allowed.
   NoToken,      ///< A packet without a token on an unknown flow.
   NotReady,     ///< No published state has been received yet.
@@ -51,9 +52,13 @@
   NoRoom,       ///< The servers have more work than they can do in time.
   SlowerThanPeers, ///< Its requests take three times as long as its peers'.
   HalfOfSlots,     ///< It gets new flows for half of its slots at first.
+  FirstPacket,  ///< Adopted: its opening went through another daemon, and this
+                ///< is the first packet after it.
+  SecondAnswer, ///< Adopted: a second server answered its opening, too late to
+                ///< get the flow.
 };
 /// Number of reasons.
-constexpr size_t PacketReasons = 15;
+constexpr size_t PacketReasons = 17;
 
 /// Name of a kind in lower case with hyphens. Thread-safe.
 const char *packetEventName(PacketEventKind kind);
--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Packets/PacketFlowTable.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace balsamrack {
 
@@ -9,6 +10,12 @@
   return std::find(Tried.begin(), end, server) != end;
 }
 
+uint8_t TrackedFlow::indexOfTried(ServerIndex server) const {
+  assert(hasTried(server));
+  return static_cast<uint8_t>(std::find(Tried.begin(), Tried.end(), server) -
+                              Tried.begin());
+}
+
 TrackedFlow *PacketFlowTable::find(const FlowKey &key) {
   auto it = Flows.find(key);
   return it == Flows.end() ? nullptr : &it->second;
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -39,13 +39,17 @@
   static constexpr size_t MaxTries = 4;
 
   std::array<ServerIndex, MaxTries> Tried{}; ///< The first Tries are valid.
-  uint8_t Tries = 0;       ///< Servers that the opening was sent to.
-  uint8_t HighestCopy = 0; ///< Highest copy number of the opening.
-  uint8_t CopiesSeen = 0;  ///< One bit for each copy received here.
+  uint8_t Tries = 0;              ///< Servers that the opening was sent to.
+  uint8_t LastTriedOnArrival = 0; ///< Index in Tried of the server that got
+                                  ///< the last copy as it arrived here.
+  uint8_t HighestCopy = 0;        ///< Highest copy number of the opening.
+  uint8_t CopiesSeen = 0;         ///< One bit for each copy received here.
   FlowStage Stage = FlowStage::Opening; ///< State of the flow.
   bool CopiesDelayed =
       false; ///< Copies of the opening did not arrive at the intervals at which
              ///< callers send them, so they were delayed.
+  bool MayBeOpenElsewhere = false; ///< Copies of the opening may have reached
+                                   ///< servers through another daemon.
   bool IsCounted =
       false; ///< A request of the flow counts as in progress at Server.
   bool IsSampled = false; ///< Its request found a free slot and was not
@@ -55,6 +59,7 @@
   ServerIndex Server = NoServerIndex; ///< Destination of its packets.
   uint32_t FirstSequence = 0; ///< Sequence number of the opening; distinguishes
                               ///< a new flow on the same ports from a copy.
+                              ///< Zero if the opening is not known.
   Duration FirstAge{0};       ///< Age of the first copy received here.
   TimePoint OpenedAt;         ///< Time of the first copy, or of the adoption.
   TimePoint LastSeen;         ///< Time of the last packet.
@@ -64,6 +69,8 @@
 
   /// True when the opening was sent to \p server.
   bool hasTried(ServerIndex server) const;
+  /// Index of \p server in Tried. Precondition: hasTried(\p server).
+  uint8_t indexOfTried(ServerIndex server) const;
 };
 
 /// Bounded table of flows. A flow that is not in it is routed by its token, so
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -101,8 +101,9 @@
   flow->FirstSequence = head.Sequence;
   flow->FirstAge = head.Age;
   flow->CopiesSeen = copyBit(head.CopyNumber);
-  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
-              out);
+  flow->MayBeOpenElsewhere = mayBeOpenElsewhere(now, head);
+  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server),
+              OpeningCause::Arrival, head, bytes, n, out);
   // A flow that does not fit in the table is not counted, since its count would
   // never be removed.
   if (flow == &spare)
@@ -187,6 +188,7 @@
 }
 
 bool PacketRouter::sendToAnotherServer(TimePoint now, TrackedFlow &flow,
+                                       OpeningCause cause,
                                        const PacketHeader &head,
                                        const uint8_t *bytes, size_t n,
                                        PacketSink &out) {
@@ -198,24 +200,28 @@
   auto to = chooseServer(now, *service, flow);
   if (!to)
     return false;
-  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
-              out);
+  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), cause, head,
+              bytes, n, out);
   return true;
 }
 
 void PacketRouter::sendOpening(TimePoint now, TrackedFlow &flow, ServerIndex to,
-                               const PacketHeader &head, const uint8_t *bytes,
-                               size_t n, PacketSink &out) {
+                               OpeningCause cause, const PacketHeader &head,
+                               const uint8_t *bytes, size_t n,
+                               PacketSink &out) {
   bool again = flow.Tries > 0;
   bool copy = flow.hasTried(to);
+  uint32_t token = openingToken(flow, head, to, cause);
   countRequest(now, flow, to);
   if (!copy) {
     flow.Tried[flow.Tries++] = to;
     const ServiceId &service = Servers.at(to).Backend.Published->Server.Service;
     Servers.recordNewFlow(now, to, coldFlowsPerSecond(service));
   }
+  if (cause == OpeningCause::Arrival)
+    flow.LastTriedOnArrival = flow.indexOfTried(to);
   flow.LastSent = now;
-  forward(to, bytes, n, out);
+  forward(to, token, bytes, n, out);
   PacketEvent event =
       makeEvent(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
                 copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -14,6 +14,8 @@
 /// Tolerated deviation of the arrival of copies, due to delays in the network
 /// and in this process. Callers send the copies 200 and 400 ms apart.
 constexpr Duration CopyJitter{100'000};
+/// A further try that is later than this may come after a copy of the opening.
+constexpr Duration MaxRetryDelay{150'000};
 /// By this time the caller has retransmitted the data again, which adds a new
 /// record.
 constexpr Duration RetransmittedRetention{1'000'000};
@@ -84,6 +86,11 @@
     handleOpeningCopy(now, *flow, head, bytes, n, out);
     return;
   }
+  if (flow && isLateCopy(now, *flow, head)) {
+    out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Copy,
+                         head.Flow, flow->Server));
+    return;
+  }
   if (flow) {
     uncountRequest(*flow);
     Flows.erase(head.Flow);
@@ -137,7 +144,9 @@
       Buffered.push(opening, item.Deadline);
       continue;
     }
+    bool wasDelayed = std::exchange(Delayed, true);
     place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
+    Delayed = wasDelayed;
   }
   // Drops openings that waited too long; their callers retransmit them.
   while (!Buffered.empty() && now >= Buffered.front().Deadline)
@@ -154,8 +163,11 @@
   Duration late = (now - flow.OpenedAt) - (head.Age - flow.FirstAge);
   if (late < -CopyJitter || late > CopyJitter)
     flow.CopiesDelayed = true;
+  bool hasGap = flow.CopiesSeen != copyBit(head.CopyNumber + 1) - 1;
+  if (flow.CopiesDelayed || hasGap)
+    flow.MayBeOpenElsewhere = true;
   if (flow.Stage != FlowStage::Opening) {
-    forward(flow.Server, bytes, n, out);
+    forward(flow.Server, Servers.at(flow.Server).Backend.Token, bytes, n, out);
     return;
   }
   bool overdue = now - flow.LastSent >= Timeout.value();
@@ -164,54 +176,13 @@
     // server.
     flow.Tried[0] = flow.Server;
     flow.Tries = 1;
+    flow.LastTriedOnArrival = 0;
   }
-  if (overdue && sendToAnotherServer(now, flow, head, bytes, n, out))
+  if (overdue && sendToAnotherServer(now, flow, OpeningCause::Arrival, head,
+                                     bytes, n, out))
     return;
-  sendOpening(now, flow, flow.Server, head, bytes, n, out);
-}
-
-PacketReason PacketRouter::resolveToken(const PacketHeader &head,
-                                        ServerIndex &found) const {
-  if (head.Token == 0)
-    return PacketReason::NoToken;
-  auto route = Routes->Routes.find(head.Flow.Service);
-  if (route == Routes->Routes.end())
-    return PacketReason::NoRoute;
-  const std::vector<ServerIndex> *named = Servers.byToken(head.Token);
-  if (!named)
-    return PacketReason::UnknownToken;
-  const std::vector<ServiceId> &allowed = route->second.EverAllowed;
-  for (ServerIndex index : *named) {
-    const ServiceId &service =
-        Servers.at(index).Backend.Published->Server.Service;
-    if (std::find(allowed.begin(), allowed.end(), service) == allowed.end())
-      continue;
-    found = index;
-    return PacketReason::None;
-  }
-  return PacketReason::ForeignToken;
-}
-
-TrackedFlow *PacketRouter::adopt(TimePoint now, const PacketHeader &head,
-                                 TrackedFlow &spare, PacketSink &out) {
-  ServerIndex home = NoServerIndex;
-  PacketReason why = resolveToken(head, home);
-  if (why != PacketReason::None) {
-    // Drop the packet instead of sending a reset: the flow may be open at a
-    // live server that is not known here yet, and the caller retransmits.
-    out.report(
-        makeEvent(PacketEventKind::Dropped, why, head.Flow, NoServerIndex));
-    return nullptr;
-  }
-  TrackedFlow *flow = Flows.add(now, head.Flow);
-  if (!flow)
-    flow = &spare;
-  flow->Stage = FlowStage::Open;
-  flow->Server = home;
-  flow->OpenedAt = now;
-  out.report(
-      makeEvent(PacketEventKind::Adopted, PacketReason::None, head.Flow, home));
-  return flow;
+  sendOpening(now, flow, flow.Server, OpeningCause::Arrival, head, bytes, n,
+              out);
 }
 
 void PacketRouter::handleFlowPacket(TimePoint now, const PacketHeader &head,
@@ -219,13 +190,18 @@
                                     PacketSink &out) {
   TrackedFlow spare;
   TrackedFlow *flow = Flows.find(head.Flow);
+  if (flow && flow->Stage == FlowStage::Opening && !head.Resets &&
+      !confirm(now, *flow, head, out)) {
+    // The flow is open through another daemon; stop offering it to servers.
+    uncountRequest(*flow);
+    Flows.erase(head.Flow);
+    flow = nullptr;
+  }
   if (!flow)
     flow = adopt(now, head, spare, out);
   if (!flow)
     return;
   flow->LastSeen = now;
-  if (flow->Stage == FlowStage::Opening && !head.Resets)
-    confirm(now, *flow, head, out);
   if (flow->Stage == FlowStage::Open && flow != &spare)
     trackRequests(now, *flow, head);
   if (isRequestLost(*flow, head)) {
@@ -242,7 +218,7 @@
     event.Took = now - flow->OpenedAt;
     out.report(event);
   }
-  forward(flow->Server, bytes, n, out);
+  forward(flow->Server, Servers.at(flow->Server).Backend.Token, bytes, n, out);
 }
 
 void PacketRouter::trackRequests(TimePoint now, TrackedFlow &flow,
@@ -276,14 +252,15 @@
   Retransmitted.push_back({now, head});
 }
 
-void PacketRouter::confirm(TimePoint now, TrackedFlow &flow,
+bool PacketRouter::confirm(TimePoint now, TrackedFlow &flow,
                            const PacketHeader &head, PacketSink &out) {
-  // The flow is open at the server that the caller answers, which is the one
-  // that the token of this packet identifies. The answer of a second server
-  // may change the token later, so the server is stored from now on.
-  ServerIndex home = NoServerIndex;
-  if (resolveToken(head, home) == PacketReason::None)
-    countRequest(now, flow, home);
+  // The flow is open at the server that the caller answers. The answer of a
+  // second server may change the token later, so the server is stored from now
+  // on.
+  ServerIndex home = answeredServer(now, flow, head);
+  if (home == NoServerIndex)
+    return false;
+  countRequest(now, flow, home);
   flow.Stage = FlowStage::Open;
   if (flow.Tries == 1 && flow.HighestCopy == 0)
     Timeout.addSample(now - flow.LastSent);
@@ -297,6 +274,7 @@
   bool domainWasSilent = Detector.isSilent(flow.Server);
   bool wasSilent = Detector.reportAnswered(now, flow.Server);
   reportRecovery(flow.Server, wasSilent, domainWasSilent, out);
+  return true;
 }
 
 void PacketRouter::processDueOpenings(TimePoint now,
@@ -377,9 +355,13 @@
       Detector.reportUnanswered(now, server, waiting.SentAt, caller))
     reportSilentServer(server, waiting.Opening.Head.Flow, out);
   const BufferedOpening &opening = waiting.Opening;
-  bool sent = opening.Bytes > 0 &&
-              sendToAnotherServer(now, *flow, opening.Head,
-                                  opening.Packet.data(), opening.Bytes, out);
+  // The caller has sent a copy meanwhile.
+  if (now - waiting.Due >= MaxRetryDelay)
+    flow->MayBeOpenElsewhere = true;
+  bool sent =
+      opening.Bytes > 0 &&
+      sendToAnotherServer(now, *flow, OpeningCause::Timeout, opening.Head,
+                          opening.Packet.data(), opening.Bytes, out);
   if (sent)
     return;
   // The opening may have been answered through another daemon; otherwise no
@@ -418,10 +400,10 @@
   return std::min(next, Detector.nextProbeAt());
 }
 
-void PacketRouter::forward(ServerIndex to, const uint8_t *bytes, size_t n,
-                           PacketSink &out) const {
+void PacketRouter::forward(ServerIndex to, uint32_t token, const uint8_t *bytes,
+                           size_t n, PacketSink &out) const {
   const RoutedBackend &is = Servers.at(to).Backend;
-  out.forward({is.At, is.Published->Tag, is.Token}, bytes, n);
+  out.forward({is.At, is.Published->Tag, token}, bytes, n);
 }
 
 void PacketRouter::refuse(const PacketHeader &head, PacketReason why,
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -92,7 +92,8 @@
 /// the token that each packet of the flow carries; a new flow may go to any
 /// server. An opening that its server leaves unanswered is resent, byte for
 /// byte, to another server after a few tens of milliseconds. The flow is open
-/// at the server that the caller answers, so no request can run twice.
+/// at the server that the caller answers, so no request can run twice. The
+/// token on an opening differs from that of its server; see OpeningTokens.h.
 class PacketRouter {
 public:
   /// Precondition: \p random outlives the router.
@@ -107,6 +108,9 @@
   void setStale() { Stale = true; }
   /// Marks the routes as current again.
   void setFresh() { Stale = false; }
+  /// Tells whether the packets that are handled next have waited in the socket
+  /// while this process was suspended.
+  void setDelayed(bool isDelayed) { Delayed = isDelayed; }
 
   /// Handles one packet of \p n bytes from a caller.
   void handlePacket(TimePoint now, const PacketHeader &head,
@@ -185,6 +189,19 @@
     BufferedOpening Opening; ///< The packet; empty when it was too long.
   };
 
+  /// Why an opening is sent to a server.
+  enum class OpeningCause {
+    Arrival, ///< It, or a copy of it, has arrived from its caller.
+    Timeout, ///< The server before has left it unanswered.
+  };
+
+  /// The server that a token identifies.
+  struct TokenMatch {
+    ServerIndex Server = NoServerIndex; ///< The server; none if not found.
+    PacketReason Reason = PacketReason::None; ///< How it was found, or why not.
+    uint8_t Attempt = 0; ///< SecondAnswer: see referringToken().
+  };
+
   /// A request that its caller retransmitted because the server has not
   /// acknowledged it.
   struct RetransmittedRequest {
@@ -221,6 +238,9 @@
   bool queueLateOpening(TimePoint now, const PacketHeader &head,
                         const uint8_t *bytes, size_t n);
   bool areSlotsTakenFor(TimePoint now, const PacketHeader &head);
+  bool mayBeOpenElsewhere(TimePoint now, const PacketHeader &head) const;
+  bool isLateCopy(TimePoint now, const TrackedFlow &flow,
+                  const PacketHeader &head) const;
   bool isTrackedOpening(const PacketHeader &head);
   bool isAwaitingServers(const PacketHeader &head);
   void placeLateOpenings(TimePoint now, PacketSink &out);
@@ -238,19 +258,19 @@
   void resetLostRequests(PacketSink &out);
   TrackedFlow *adopt(TimePoint now, const PacketHeader &head,
                      TrackedFlow &spare, PacketSink &out);
-  void confirm(TimePoint now, TrackedFlow &flow, const PacketHeader &head,
+  bool confirm(TimePoint now, TrackedFlow &flow, const PacketHeader &head,
                PacketSink &out);
   void processDueOpenings(TimePoint now, std::deque<UnansweredOpening> &waiting,
                           PacketSink &out);
   bool isUnanswered(const UnansweredOpening &waiting);
   void handleUnanswered(TimePoint now, const UnansweredOpening &waiting,
                         PacketSink &out);
-  bool sendToAnotherServer(TimePoint now, TrackedFlow &flow,
+  bool sendToAnotherServer(TimePoint now, TrackedFlow &flow, OpeningCause cause,
                            const PacketHeader &head, const uint8_t *bytes,
                            size_t n, PacketSink &out);
   void sendOpening(TimePoint now, TrackedFlow &flow, ServerIndex to,
-                   const PacketHeader &head, const uint8_t *bytes, size_t n,
-                   PacketSink &out);
+                   OpeningCause cause, const PacketHeader &head,
+                   const uint8_t *bytes, size_t n, PacketSink &out);
   std::optional<OpeningChoice> chooseServer(TimePoint now,
                                             const ServiceId &service,
                                             const TrackedFlow &flow);
@@ -263,7 +283,13 @@
   double coldFlowsPerSecond(const ServiceId &service) const;
   bool hasTriedDomain(const TrackedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
-  PacketReason resolveToken(const PacketHeader &head, ServerIndex &found) const;
+  TokenMatch resolveToken(const PacketHeader &head) const;
+  PacketReason findAllowed(uint32_t token, const RouteEntry &route,
+                           ServerIndex &found) const;
+  ServerIndex answeredServer(TimePoint now, const TrackedFlow &flow,
+                             const PacketHeader &head) const;
+  uint32_t openingToken(const TrackedFlow &flow, const PacketHeader &head,
+                        ServerIndex to, OpeningCause cause) const;
   bool isServiceUnreachable(const ServiceId &service);
   bool anyServerAcceptsNewFlows() const;
   bool ownDomainAcceptsNewFlows() const;
@@ -271,7 +297,7 @@
   void updateReachability(TimePoint now);
   void recordReached(ServerIndex server);
   std::vector<ServerIndex> serversToProbe(TimePoint now);
-  void forward(ServerIndex to, const uint8_t *bytes, size_t n,
+  void forward(ServerIndex to, uint32_t token, const uint8_t *bytes, size_t n,
                PacketSink &out) const;
   void refuse(const PacketHeader &head, PacketReason why, PacketSink &out);
   void trackRequests(TimePoint now, TrackedFlow &flow,
@@ -348,6 +374,7 @@
   LoadReportCounts ReportCounts; ///< See loadReportCounts().
   bool HasAllServers = true;     ///< See PacketUpdate.
   bool Stale = false;            ///< See setStale().
+  bool Delayed = false; ///< See setDelayed(); also set for queued openings.
 };
 
 } // namespace balsamrack
--- a/PerformanceTest/packet-pathMain.cpp
+++ b/PerformanceTest/packet-pathMain.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "Balsamrack/Packets/OpeningTokens.h"
 #include "Balsamrack/Packets/PacketRouter.h"
 #include "Balsamrack/Packets/PacketSocket.h"
 #include "platform/EchoPackets.h"
@@ -40,11 +41,21 @@
   put(10, static_cast<uint32_t>(flow % 60'000 + 1), 2);
   put(12, 443, 2);
   put(14, static_cast<uint32_t>(0x64400000 + flow / 60'000), 4);
-  put(18, position == 0 ? 0 : token, 4);
+  uint32_t sequence = static_cast<uint32_t>(flow) << 16;
+  FlowKey key{{static_cast<uint32_t>(0x64400000 + flow / 60'000),
+               static_cast<uint16_t>(flow % 60'000 + 1)},
+              {0xc6120001, 443}};
+  if (position == 0)
+    token = 0;
+  else if (position == 1)
+    token = firstPacketToken(token, key, sequence);
+  put(18, token, 4);
   packet[22] = position == 0                    ? 2
                : position + 1 == PacketsPerFlow ? 32 | 64
                                                 : 32;
-  put(23, static_cast<uint32_t>(flow), 4);
+  if (position > 0)
+    sequence += static_cast<uint32_t>(1 + (position - 1) * DataBytes);
+  put(23, sequence, 4);
   return packet;
 }
 
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -365,6 +365,7 @@
       head.Flow = Calls[id].Key;
       head.Acknowledges = true;
       head.Token = token;
+      head.Sequence = static_cast<uint32_t>(id) + 1;
       head.DataBytes = 100;
       if (!isWithin(Config.Outage))
         send(Calls[id].Daemon, head, id, true);
--- a/UnitTests/Packets/LongFlowsTest.cpp
+++ b/UnitTests/Packets/LongFlowsTest.cpp
@@ -14,11 +14,12 @@
 
 constexpr Duration Millisecond{1'000};
 
-/// Opens a flow whose first request is answered; returns its token.
+/// Opens a flow whose first request is answered; returns the token of the
+/// answer.
 uint32_t openLongFlow(PacketRouterHarness &bench, uint16_t port) {
   bench.sendOpening(port);
+  bench.sendRequest(port, bench.lastToken(), 0);
   uint32_t token = bench.lastToken();
-  bench.sendRequest(port, token, 0);
   bench.advance(Millisecond * 30);
   bench.acknowledgeAnswer(port, token, 0);
   return token;
--- /dev/null
+++ b/UnitTests/Packets/MovedHandshakeTest.cpp
@@ -0,0 +1,225 @@
+#include <gtest/gtest.h>
+
+#include "UnitTests/Packets/PacketRouterHarness.h"
+
+namespace balsamrack {
+namespace {
+
+constexpr Duration Millisecond{1'000};
+constexpr uint16_t Port = 1;
+
+/// Daemons of one site, between which the fabric moves a flow.
+class MovedHandshakeTest : public testing::Test {
+protected:
+  MovedHandshakeTest() {
+    for (PacketRouterHarness *it : {&First, &Second, &Third})
+      it->publishDefaults();
+  }
+  /// Advances the first daemon until it has sent its last opening to \p servers
+  /// servers.
+  void retryUntil(size_t servers) {
+    for (int i = 0; i < 100 && First.Out.Sent.size() < servers; ++i)
+      First.advance(Millisecond * 5);
+    ASSERT_EQ(First.Out.Sent.size(), servers);
+  }
+
+  PacketRouterHarness First{1}, Second{2}, Third{3};
+};
+
+struct SecondAnswers {
+  const char *Name;
+  size_t Servers; ///< Servers that got the opening.
+};
+
+class EachNumberOfAnswers : public MovedHandshakeTest,
+                            public testing::WithParamInterface<SecondAnswers> {
+};
+
+// The fabric moves a flow to another daemon during its handshake. Guards
+// against the first daemon's further tries: their late answers bring the caller
+// a token that a third daemon would follow to a server without the flow.
+TEST_P(EachNumberOfAnswers, LateAnswersMoveNoFlow) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  Second.sendOnFlow(Port, First.lastToken());
+  ASSERT_EQ(Second.lastTag(), home);
+  retryUntil(GetParam().Servers);
+  ASSERT_NE(First.lastTag(), home);
+  Third.sendRequest(Port, First.lastToken(), 1);
+  EXPECT_EQ(Third.lastTag(), home);
+  EXPECT_TRUE(
+      Third.Out.reported(PacketEventKind::Adopted, PacketReason::SecondAnswer));
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, EachNumberOfAnswers,
+                         testing::Values(SecondAnswers{"Two", 2},
+                                         SecondAnswers{"Three", 3},
+                                         SecondAnswers{"Four", 4}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
+// Guards against a late answer of the first server, after the caller has
+// answered the second one: a daemon that does not track the flow must not
+// forward it to the first server.
+TEST_F(MovedHandshakeTest, ALateFirstAnswerMovesNoFlow) {
+  First.sendOpening(Port);
+  uint32_t token = First.lastToken();
+  retryUntil(2);
+  uint64_t home = First.lastTag();
+  First.sendOnFlow(Port, First.lastToken());
+  ASSERT_EQ(First.lastTag(), home);
+  Second.sendRequest(Port, token, 1);
+  EXPECT_TRUE(Second.Out.Sent.empty());
+  EXPECT_TRUE(Second.Out.Resets.empty());
+  First.sendRequest(Port, token, 1);
+  EXPECT_EQ(First.lastTag(), home) << "a daemon that tracks the flow knows";
+}
+
+// Guards against a copy of an opening that went to another daemon than the
+// first one, when both servers answer.
+TEST_F(MovedHandshakeTest, AnAnswerToACopyMovesNoFlow) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  Second.sendOpening(Port, 1);
+  uint32_t late = Second.lastToken();
+  First.sendOnFlow(Port, First.lastToken());
+  Third.sendRequest(Port, late, 1);
+  EXPECT_TRUE(Third.Out.Sent.empty()) << "the token proves nothing";
+  Second.Now += Millisecond * 150;
+  Second.sendRequest(Port, late, 1);
+  EXPECT_EQ(Second.Out.Sent.size(), 1U) << "nor does the opening sent here";
+  First.sendRequest(Port, late, 1);
+  EXPECT_EQ(First.lastTag(), home);
+  Third.sendRequest(Port, First.lastToken(), 2);
+  EXPECT_EQ(Third.lastTag(), home);
+}
+
+struct RepeatedOpening {
+  const char *Name;
+  uint8_t Copy;       ///< The copy that the first daemon gets first.
+  Duration Interrupt; ///< The first daemon was not called for this long.
+  bool IsDelayed; ///< It waited in the socket of the first daemon meanwhile.
+};
+
+class EachRepeatedOpening
+    : public MovedHandshakeTest,
+      public testing::WithParamInterface<RepeatedOpening> {};
+
+// A daemon sends an opening to further servers that has opened its flow through
+// another daemon. Guards against tokens that refer to one of the servers that
+// this daemon has tried.
+TEST_P(EachRepeatedOpening, RetriesReferToNoServer) {
+  Second.sendOpening(Port, 1);
+  uint64_t home = Second.lastTag();
+  Second.sendOnFlow(Port, Second.lastToken());
+  First.Router.tick(First.Now, First.Out);
+  First.Now += GetParam().Interrupt;
+  First.Router.setDelayed(GetParam().IsDelayed);
+  First.sendOpening(Port, GetParam().Copy);
+  First.Router.setDelayed(false);
+  retryUntil(2);
+  Third.sendRequest(Port, First.lastToken(), 1);
+  EXPECT_TRUE(Third.Out.Sent.empty());
+  Third.sendRequest(Port, Second.lastToken(), 1);
+  EXPECT_EQ(Third.lastTag(), home);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Openings, EachRepeatedOpening,
+    testing::Values(RepeatedOpening{"SecondCopy", 1, Millisecond, false},
+                    RepeatedOpening{"LastCopy", 2, Millisecond, false},
+                    RepeatedOpening{"AfterAnInterruption", 0, Millisecond * 500,
+                                    false},
+                    RepeatedOpening{"AfterASuspension", 0, Millisecond, true}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+struct Adoption {
+  const char *Name;
+  uint32_t Request; ///< The packet by which the second daemon adopts the flow.
+};
+
+class EachAdoption : public MovedHandshakeTest,
+                     public testing::WithParamInterface<Adoption> {};
+
+// Guards against a late copy of the opening of a flow that was adopted
+// meanwhile: it must not open the flow a second time.
+TEST_P(EachAdoption, ALateCopyOpensNoFlow) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  uint32_t token = First.lastToken();
+  if (GetParam().Request > 0) {
+    First.sendRequest(Port, token, 0);
+    token = First.lastToken();
+  }
+  Second.sendRequest(Port, token, GetParam().Request);
+  for (uint8_t copy : {1, 2}) {
+    Second.sendOpening(Port, copy);
+    EXPECT_EQ(Second.lastTag(), home);
+  }
+  Second.sendRequest(Port, token, 2);
+  EXPECT_EQ(Second.lastTag(), home);
+  EXPECT_FALSE(
+      Second.Out.reported(PacketEventKind::Placed, PacketReason::None));
+}
+
+INSTANTIATE_TEST_SUITE_P(Adoptions, EachAdoption,
+                         testing::Values(Adoption{"ByTheFirstPacket", 0},
+                                         Adoption{"ByALaterPacket", 1}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
+// Guards against a further try after an interruption in which a copy may have
+// opened the flow through another daemon: it must refer to no server.
+TEST_F(MovedHandshakeTest, AnOverdueRetryRefersToNoServer) {
+  First.sendOpening(Port);
+  First.Now += Millisecond * 1'000;
+  First.Router.tick(First.Now, First.Out);
+  ASSERT_EQ(First.Out.Sent.size(), 2U);
+  Third.sendRequest(Port, First.lastToken(), 1);
+  EXPECT_TRUE(Third.Out.Sent.empty());
+}
+
+// As above, for an opening that waits in the first daemon for its routes.
+TEST_F(MovedHandshakeTest, ARetryOfAQueuedOpeningRefersToNoServer) {
+  First.Router.setStale();
+  First.sendOpening(Port);
+  First.Router.setFresh();
+  retryUntil(2);
+  Third.sendRequest(Port, First.lastToken(), 1);
+  EXPECT_TRUE(Third.Out.Sent.empty());
+}
+
+// Guards against the loss of a packet that overtakes the first one after the
+// opening.
+TEST_F(MovedHandshakeTest, AnOvertakingPacketIsForwarded) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  uint32_t token = First.lastToken();
+  First.advance(Millisecond * 5);
+  First.sendRequest(Port, token, 1);
+  First.sendRequest(Port, token, 0);
+  EXPECT_EQ(First.Out.Sent.size(), 3U);
+  EXPECT_EQ(First.lastTag(), home);
+}
+
+// The first server is dead. Guards against losing the handshake with the second
+// one when the fabric moves it to another daemon.
+TEST_F(MovedHandshakeTest, ARescuedOpeningIsFoundByAnotherDaemon) {
+  for (uint16_t port = 100; port < 140; ++port) {
+    First.sendOpening(port);
+    First.advance(Millisecond * 45);
+    if (First.Router.silentServers() > 0)
+      break;
+  }
+  // The second server answers a copy of the opening.
+  First.sendOpening(Port);
+  First.advance(Millisecond * 200);
+  First.sendOpening(Port, 1);
+  Second.sendOnFlow(Port, First.lastToken());
+  EXPECT_EQ(Second.lastTag(), First.lastTag());
+}
+
+} // namespace
+} // namespace balsamrack
--- a/UnitTests/Packets/PacketRouterHarness.h
+++ b/UnitTests/Packets/PacketRouterHarness.h
@@ -147,12 +147,14 @@
   static FlowKey key(uint16_t callerPort, uint16_t port = 443) {
     return {{0x64400000U + callerPort, callerPort}, {0xc6120001, port}};
   }
+  /// Sequence number of the opening of the caller that uses \p callerPort.
+  static uint32_t firstSequence(uint16_t callerPort) { return callerPort; }
   /// Sends copy \p copy of an opening.
   void sendOpening(uint16_t callerPort, uint8_t copy = 0, uint16_t port = 443) {
     PacketHeader head;
     head.Flow = key(callerPort, port);
     head.Opens = true;
-    head.Sequence = callerPort;
+    head.Sequence = firstSequence(callerPort);
     head.CopyNumber = copy;
     head.Age = copyAge(copy);
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
@@ -165,6 +167,7 @@
     head.Flow = key(callerPort, port);
     head.Acknowledges = true;
     head.Token = token;
+    head.Sequence = firstSequence(callerPort) + 1;
     head.DataBytes = data;
     head.Ends = ends;
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
@@ -238,7 +241,7 @@
     head.Flow = key(callerPort);
     head.Acknowledges = true;
     head.Token = token;
-    head.Sequence = sequence;
+    head.Sequence = firstSequence(callerPort) + 1 + sequence;
     head.DataBytes = data;
     head.Acknowledged = acknowledged;
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -14,10 +14,11 @@
   uint64_t home = bench.lastTag();
   uint32_t token = bench.lastToken();
   ASSERT_NE(home, 0U);
-  EXPECT_EQ(token, tokenOf(ServerId("b" + std::to_string(home))));
   for (int i = 0; i < 5; ++i) {
     bench.sendOnFlow(1, token);
     EXPECT_EQ(bench.lastTag(), home);
+    token = bench.lastToken();
+    EXPECT_EQ(token, tokenOf(ServerId("b" + std::to_string(home))));
   }
   bench.sendOnFlow(1, token, 0, true);
   EXPECT_EQ(bench.lastTag(), home);
@@ -27,14 +28,18 @@
 // The fabric moves the packets of an open flow to another daemon that does not
 // know the flow. It must forward them to the same server.
 TEST(PacketRouterTest, AnyDaemonFindsAFlowByItsToken) {
-  PacketRouterHarness first(1), second(2);
+  PacketRouterHarness first(1), second(2), third(3);
   first.publishDefaults();
   second.publishDefaults();
+  third.publishDefaults();
   first.sendOpening(1);
   second.sendOnFlow(1, first.lastToken());
   EXPECT_EQ(second.lastTag(), first.lastTag());
   EXPECT_TRUE(
-      second.Out.reported(PacketEventKind::Adopted, PacketReason::None));
+      second.Out.reported(PacketEventKind::Adopted, PacketReason::FirstPacket));
+  third.sendRequest(1, second.lastToken(), 1);
+  EXPECT_EQ(third.lastTag(), first.lastTag());
+  EXPECT_TRUE(third.Out.reported(PacketEventKind::Adopted, PacketReason::None));
 }
 
 // A server dies, but stays published for three more seconds. Each caller whose
@@ -83,7 +88,9 @@
   EXPECT_EQ(bench.lastTag(), first.Tag);
   bench.sendOnFlow(1, second.Token);
   EXPECT_EQ(bench.lastTag(), first.Tag);
-  EXPECT_EQ(bench.lastToken(), first.Token) << "the token is corrected";
+  EXPECT_EQ(bench.lastToken(),
+            tokenOf(ServerId("b" + std::to_string(first.Tag))))
+      << "the token is corrected";
 }
 
 // Two failure domains are partitioned from each other. Detecting each server
@@ -380,6 +387,7 @@
     uint64_t home = bench.lastTag();
     head.Opens = false;
     head.Token = bench.lastToken();
+    head.Sequence = port + 1U;
     head.DataBytes = 10;
     router.handlePacket(bench.Now, head, bytes, sizeof bytes, bench.Out);
     EXPECT_EQ(bench.lastTag(), home);
