Read the clock after the socket, so that a suspension is seen before its backlog

Cause: the forwarder read the clock, was suspended, and then read its socket. It took what had arrived during the suspension for fresh, and noticed the suspension in the next iteration only.

Change: the clock is read again, and a suspension detected, before the first packet of each batch. Both now happen under the router's lock.

Result: EachSuspension/Long fails on the old order (the opening is forwarded at once) and passes.

--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -188,31 +188,35 @@
 }
 
 void PacketForwarder::detectPause(TimePoint now) {
-  bool paused =
-      LastIterationAt != TimePoint{} && now - LastIterationAt > PauseThreshold;
-  LastIterationAt = now;
+  Duration since = now - LastClockReadAt;
+  bool paused = LastClockReadAt != TimePoint{} && since > PauseThreshold;
+  LastClockReadAt = now;
   if (paused) {
     // A process that resumes after seconds must not place new flows by routes
     // and servers that have changed in the meantime.
-    {
-      std::lock_guard<std::mutex> hold(Lock);
-      StaleUntil = now + MaxStaleTime;
-      Router.setStale();
-      Router.setDelayed(true);
-    }
-    OnPaused();
-    return;
-  }
-  std::lock_guard<std::mutex> hold(Lock);
-  if (StaleUntil != TimePoint{} && now >= StaleUntil) {
+    TelemetrySink.log(
+        LogLine(Component::Entry, Severity::Warning, "resumed-after-pause")
+            .millis("paused_ms", since));
+    StaleUntil = now + MaxStaleTime;
+    Router.setStale();
+    Router.setDelayed(true);
+    IsPauseReportDue = true;
+  } else if (StaleUntil != TimePoint{} && now >= StaleUntil) {
     StaleUntil = {};
     Router.setFresh();
   }
 }
 
-void PacketForwarder::receivePackets(TimePoint now) {
+TimePoint PacketForwarder::receivePackets(TimePoint now) {
   for (int batch = 0; batch < MaxBatchesPerIteration; ++batch) {
+    bool isFirst = true;
     size_t n = Socket->receive([&](uint8_t *packet, size_t bytes) {
+      // The process may have been suspended since the last clock read, and the
+      // packets may have arrived at any time since.
+      if (std::exchange(isFirst, false)) {
+        now = Time.now();
+        detectPause(now);
+      }
       auto head = Codec.decode(packet, bytes);
       if (head) {
         Router.handlePacket(now, *head, packet, bytes, *this);
@@ -227,9 +231,10 @@
     if (n < PacketSocket::BatchSize) {
       // Later packets have not waited.
       Router.setDelayed(false);
-      return;
+      break;
     }
   }
+  return now;
 }
 
 void PacketForwarder::updateReachability() {
@@ -256,19 +261,21 @@
   while (!Stopping) {
     wait();
     TimePoint now = Time.now();
-    detectPause(now);
     std::vector<ConnectionAttemptResult> ended = Prober.takeFinished(now);
     std::vector<ConnectionAttempt> due;
     {
       std::lock_guard<std::mutex> hold(Lock);
+      detectPause(now);
       for (const ConnectionAttemptResult &it : ended)
         Router.handleAttemptResult(now, it.Server, it.Result, *this);
-      receivePackets(now);
+      now = receivePackets(now);
       Router.tick(now, *this);
       due = Router.dueAttempts(now);
       updateReachability();
       publishMetrics(now);
     }
+    if (std::exchange(IsPauseReportDue, false))
+      OnPaused();
     Socket->flush();
     for (const ConnectionAttempt &it : due)
       Prober.start(now, it);
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -51,7 +51,7 @@
 public:
   /// Upper bound of one wait in poll().
   static constexpr Duration MaxPollWait{250'000};
-  /// If an iteration starts later than this after the previous one, the process
+  /// If the clock is read later than this after the previous time, the process
   /// was suspended.
   static constexpr Duration PauseThreshold{1'000'000};
   /// After a pause, opening packets wait no longer than this for updates:
@@ -116,7 +116,8 @@
 
   void run();
   void wait();
-  void receivePackets(TimePoint now);
+  /// Returns the time of the last batch, or \p now if there was none.
+  TimePoint receivePackets(TimePoint now);
   void detectPause(TimePoint now);
   void updateReachability();
   void wakeUp();
@@ -129,8 +130,9 @@
   const OnPause OnPaused;
   const int WakeEvent;     ///< An eventfd that interrupts poll(); see wakeUp().
   ConnectionProber Prober; ///< Used by the thread only.
-  TimePoint LastIterationAt; ///< Used by the thread only.
-  TimePoint NextMetricsAt;   ///< Used by the thread only.
+  TimePoint LastClockReadAt;     ///< Used by the thread only.
+  TimePoint NextMetricsAt;       ///< Used by the thread only.
+  bool IsPauseReportDue = false; ///< Used by the thread only.
 
   std::mutex Lock; ///< Guards Random, Router and StaleUntil.
   SeededRandom Random;
--- /dev/null
+++ b/UnitTests/Daemon/PacketForwarderTest.cpp
@@ -0,0 +1,174 @@
+#include "Balsamrack/Daemon/PacketForwarder.h"
+
+#include <fcntl.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "platform/EchoPackets.h"
+
+namespace balsamrack {
+namespace {
+
+/// A clock that the test sets.
+class ManualClock final : public Clock {
+public:
+  TimePoint now() const override { return TimePoint(Duration(Micros.load())); }
+  void advance(Duration by) { Micros += by.count(); }
+
+private:
+  std::atomic<int64_t> Micros{1'000'000};
+};
+
+/// A socket in memory. The process is suspended during a call to receive().
+class SuspendingSocket final : public PacketSocket {
+public:
+  explicit SuspendingSocket(ManualClock &time)
+      : Time(time), Event(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+  ~SuspendingSocket() override { close(Event); }
+
+  /// Delivers \p packet when the process resumes after \p suspension.
+  void deliver(const std::vector<uint8_t> &packet, Duration suspension) {
+    {
+      std::lock_guard<std::mutex> hold(Lock);
+      Packets.push_back(packet);
+      Suspension = suspension;
+    }
+    uint64_t one = 1;
+    (void)!write(Event, &one, sizeof one);
+  }
+  size_t sent() const { return Sent; }
+
+  const Address &at() const override { return BoundTo; }
+  int fd() const override { return Event; }
+  size_t receive(const PacketCallback &got) override {
+    std::lock_guard<std::mutex> hold(Lock);
+    uint64_t count = 0;
+    (void)!read(Event, &count, sizeof count);
+    Time.advance(std::exchange(Suspension, Duration{0}));
+    size_t n = Packets.size();
+    for (; !Packets.empty(); Packets.pop_front())
+      got(Packets.front().data(), Packets.front().size());
+    return n;
+  }
+  uint8_t *prepare(const Endpoint &, size_t) override {
+    ++Prepared;
+    return Buffer.data();
+  }
+  void flush() override { Sent += std::exchange(Prepared, 0); }
+  const PacketSocketCounters &counters() const override { return Counters; }
+
+private:
+  ManualClock &Time;
+  const int Event;
+  const Address BoundTo{"10.0.0.9", 8172};
+  std::mutex Lock; ///< Guards Packets and Suspension.
+  std::deque<std::vector<uint8_t>> Packets;
+  Duration Suspension{0};
+  std::array<uint8_t, MaxPacketBytes> Buffer{};
+  size_t Prepared = 0;
+  std::atomic<size_t> Sent{0};
+  PacketSocketCounters Counters;
+};
+
+PacketUpdate oneServer() {
+  auto c = std::make_shared<OperatorConfiguration>();
+  c->Version = 1;
+  c->Routes.push_back({{"198.18.0.1", 443}, {{ServiceId("booking"), 1}}});
+  auto s = std::make_shared<PublishedServer>();
+  s->Server.Id = ServerId("b1");
+  s->Server.Service = ServiceId("booking");
+  s->Server.Domain = DomainId("bern-a");
+  s->Server.At = {"10.0.0.1", 8080};
+  PacketRoutesBuilder builder;
+  builder.applyOperatorObjects(
+      TimePoint(Duration(1)),
+      {{PublishedSection::Operators,
+        "config",
+        {1},
+        std::shared_ptr<const OperatorConfiguration>(c)}});
+  builder.applyServerChanges(TimePoint(Duration(1)),
+                             {{PublishedSection::Servers,
+                               "b1",
+                               {2},
+                               std::shared_ptr<const PublishedServer>(s)}});
+  return builder.takeUpdate(TimePoint(Duration(1)));
+}
+
+/// The opening of the platform's documentation.
+std::vector<uint8_t> opening() {
+  return {0xd5, 0xc3, 0xb2, 0xa1, 0,    0,    1,    0, 0x12, 0xc6, 0x41,
+          0x9c, 0xbb, 0x01, 7,    0,    0x40, 0x64, 0, 0,    0,    0,
+          2,    0x44, 0x33, 0x22, 0x11, 0,    0,    0, 0};
+}
+
+struct SuspensionCase {
+  const char *Name;
+  Duration Suspension;
+  bool Waits; ///< The opening waits for an update of the routes.
+};
+
+class EachSuspension : public testing::TestWithParam<SuspensionCase> {
+protected:
+  EachSuspension()
+      : Null(open("/dev/null", O_WRONLY)),
+        Log(EventLog::create(EventLogSettings(), Null, Time)),
+        Telemetry(Time, *Log) {}
+  ~EachSuspension() override {
+    Log.reset();
+    close(Null);
+  }
+  static bool waitUntil(const std::function<bool()> &condition) {
+    for (int i = 0; i < 2000 && !condition(); ++i)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return condition();
+  }
+
+  const int Null;
+  ManualClock Time;
+  std::unique_ptr<EventLog> Log;
+  PacketTelemetry Telemetry;
+  platform::EchoPackets Codec;
+};
+
+// Guards against a process that is suspended right before it reads its socket,
+// and handles what has arrived meanwhile by the time of before: an opening is
+// placed by outdated routes, although its copies have opened the flow.
+TEST_P(EachSuspension, IsDetectedBeforeItsPacketsAreHandled) {
+  auto created = std::make_unique<SuspendingSocket>(Time);
+  SuspendingSocket &socket = *created;
+  std::atomic<int> pauses{0};
+  PacketRouterSettings settings;
+  settings.Domain = DomainId("bern-a");
+  PacketForwarder forwarder(settings, Codec, std::move(created), Time, 1,
+                            Telemetry, [&] { ++pauses; });
+  forwarder.apply(oneServer());
+  socket.deliver(opening(), GetParam().Suspension);
+  ASSERT_TRUE(waitUntil([&] { return forwarder.received() == 1; }));
+  if (GetParam().Waits) {
+    EXPECT_TRUE(waitUntil([&] { return pauses == 1; }));
+    EXPECT_EQ(socket.sent(), 0U);
+    forwarder.setFresh();
+  }
+  EXPECT_TRUE(waitUntil([&] { return socket.sent() == 1; }));
+  EXPECT_EQ(pauses, GetParam().Waits ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Suspensions, EachSuspension,
+    testing::Values(SuspensionCase{"None", Duration(0), false},
+                    SuspensionCase{"Short", Duration(200'000), false},
+                    SuspensionCase{"Long", Duration(1'500'000), true}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+} // namespace
+} // namespace balsamrack
