Let only entries of known services replace a server

Cause: any entry with the same address and a later start counted as proof that the earlier server is dead.

--- a/Balsamrack/Packets/PacketRoutes.cpp
+++ b/Balsamrack/Packets/PacketRoutes.cpp
@@ -68,6 +68,24 @@
   }
   for (auto &[end, allowed] : before)
     DroppedRoutes[end] = {std::move(allowed), now};
+  updateKnownServices();
+}
+
+void PacketRoutesBuilder::updateKnownServices() {
+  std::set<ServiceId> known;
+  for (const PublishedService &it : Configuration->Services)
+    known.insert(it.Id);
+  for (const auto &[end, allowed] : EverAllowed)
+    known.insert(allowed.begin(), allowed.end());
+  for (const auto &[end, dropped] : DroppedRoutes)
+    known.insert(dropped.EverAllowed.begin(), dropped.EverAllowed.end());
+  if (known == KnownServices)
+    return;
+  KnownServices = std::move(known);
+  // Servers that share an address may be replaced now, or not any more.
+  for (const auto &[at, sharing] : ServersByAddress)
+    if (sharing.size() > 1)
+      ChangedServers.insert(sharing.begin(), sharing.end());
 }
 
 void PacketRoutesBuilder::applyServerChanges(
@@ -215,8 +233,12 @@
          std::any_of(sharing->second.begin(), sharing->second.end(),
                      [&](const ServerKey &key) {
                        const KnownServer &other = Servers.at(key);
+                       // An entry of a service that no configuration names is
+                       // of another writer and says nothing about servers.
                        return other.Present &&
-                              other.Published->Born > known.Published->Born;
+                              other.Published->Born > known.Published->Born &&
+                              KnownServices.count(
+                                  other.Published->Server.Service) != 0;
                      });
 }
 
--- a/Balsamrack/Packets/PacketRoutes.h
+++ b/Balsamrack/Packets/PacketRoutes.h
@@ -144,6 +144,7 @@
   void markServerGone(TimePoint now, const std::string &name);
   void markBulkExpiry(TimePoint now, ServiceServers &service);
   void markAddressChanged(const Endpoint &at);
+  void updateKnownServices();
   void markDomainsChanged(const std::vector<DomainId> &domains);
   void processTimers(TimePoint now, PacketUpdate &update);
   ServerPresence presenceOf(TimePoint now, const KnownServer &known) const;
@@ -158,8 +159,9 @@
   std::vector<DomainId> DomainsOut; ///< Failure domains taken out of service.
   std::map<Endpoint, std::vector<ServiceId>> EverAllowed; ///< By current route.
   std::map<Endpoint, DroppedRoute> DroppedRoutes; ///< Within GoneRetention.
-  std::map<ServerKey, KnownServer> Servers;       ///< Includes removed servers.
-  std::map<std::string, ServerKey> ServerByName;  ///< By object name.
+  std::set<ServiceId> KnownServices; ///< Named by a configuration of late.
+  std::map<ServerKey, KnownServer> Servers;      ///< Includes removed servers.
+  std::map<std::string, ServerKey> ServerByName; ///< By object name.
   std::map<Endpoint, std::set<ServerKey>> ServersByAddress; ///< As Servers.
   std::map<ServiceId, ServiceServers> Services;             ///< By service.
   std::set<ServerKey> ChangedServers; ///< Since the last update.
--- a/UnitTests/Packets/PacketRoutesBuilderTest.cpp
+++ b/UnitTests/Packets/PacketRoutesBuilderTest.cpp
@@ -15,6 +15,60 @@
   EXPECT_EQ(PacketRoutesBuilder().nextChange(), TimePoint(Duration::max()));
 }
 
+/// Publishes server \p id of \p service at an address that all of these share.
+void publishServer(PacketRoutesBuilder &book, const std::string &id,
+                   const std::string &service, uint64_t born) {
+  auto made = std::make_shared<PublishedServer>();
+  made->Server.Id = ServerId(id);
+  made->Server.Service = ServiceId(service);
+  made->Server.Domain = DomainId("bern-a");
+  made->Server.At = {"10.0.0.1", 8080};
+  made->Born = born;
+  book.applyServerChanges(TimePoint(Duration(1)),
+                          {{PublishedSection::Servers,
+                            id,
+                            {born},
+                            std::shared_ptr<const PublishedServer>(made)}});
+}
+
+/// Publishes a configuration that names \p services.
+void publishServices(PacketRoutesBuilder &book, uint64_t version,
+                     const std::vector<std::string> &services) {
+  auto made = std::make_shared<OperatorConfiguration>();
+  made->Version = version;
+  for (const std::string &it : services)
+    made->Services.push_back({ServiceId(it), 0});
+  book.applyOperatorObjects(
+      TimePoint(Duration(1)),
+      {{PublishedSection::Operators,
+        "config",
+        {version},
+        std::shared_ptr<const OperatorConfiguration>(made)}});
+}
+
+ServerPresence presenceIn(const PacketUpdate &update, const std::string &id) {
+  for (const RoutedBackend &it : update.Changed)
+    if (it.Published->Server.Id.str() == id)
+      return it.Presence;
+  ADD_FAILURE() << id << " is not in the update";
+  return ServerPresence::Gone;
+}
+
+// Guards against an entry of another writer at the address of a live server,
+// whose service no configuration names: flows of the server must go on.
+TEST(PacketRoutesBuilderTest, AnEntryOfAnUnknownServiceReplacesNoServer) {
+  PacketRoutesBuilder book;
+  publishServices(book, 1, {"booking"});
+  publishServer(book, "i-1", "booking", 10);
+  publishServer(book, "i-2", "ledger", 20);
+  EXPECT_EQ(presenceIn(book.takeUpdate(TimePoint(Duration(1))), "i-1"),
+            ServerPresence::Listed);
+  // A later configuration names the service, so the address was reassigned.
+  publishServices(book, 2, {"booking", "ledger"});
+  EXPECT_EQ(presenceIn(book.takeUpdate(TimePoint(Duration(1))), "i-1"),
+            ServerPresence::Replaced);
+}
+
 /// CPU time that a builder with \p servers servers needs to process the removal
 /// of a quarter of them.
 Duration measureRemovalTime(size_t servers) {
