Drop openings that a suspension has outdated

Cause: the resumed daemon forwards openings that waited in its socket, although their callers have sent the next copy, which opened the flow through another daemon. The late answers replace the flows' tokens, which since the binding of tokens leads to no reset, but to nobody either.

Evidence: the record of one flow: copies 0 and 1 through the frozen daemon, copy 2 opened it elsewhere, answers of three second servers 0.13 s after the daemon woke, the next request dropped by a daemon without state.

Change: sockets have kernel time stamps, which are evaluated after a suspension only; an opening that has waited until its caller's next copy is dropped. Where the system gives no time stamps, all is as before.

--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -219,6 +219,8 @@
       }
       auto head = Codec.decode(packet, bytes);
       if (head) {
+        if (Router.isDelayed())
+          head->Waited = Socket->waited().value_or(Duration{0});
         Router.handlePacket(now, *head, packet, bytes, *this);
         return;
       }
--- a/Balsamrack/Packets/Packet.h
+++ b/Balsamrack/Packets/Packet.h
@@ -64,6 +64,11 @@
   uint8_t CopyNumber =
       0;           ///< Copy number of an opening: zero for the first one.
   Duration Age{0}; ///< Time since the first copy of an opening was sent.
+  Duration NextCopyAfter{
+      0}; ///< Time from this copy to the next one, or after the last copy
+          ///< until the caller gives up; zero if not known.
+  Duration Waited{0}; ///< Time that the packet has waited in the socket, as far
+                      ///< as it is known.
   uint16_t DataBytes = 0;    ///< Bytes after the header.
   bool Opens = false;        ///< First packet of a flow, or a copy of it.
   bool Acknowledges = false; ///< Acknowledged is valid.
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -81,6 +81,13 @@
 void PacketRouter::handleOpening(TimePoint now, const PacketHeader &head,
                                  const uint8_t *bytes, size_t n,
                                  PacketSink &out) {
+  // The caller has sent the next copy since, which may have opened the flow
+  // through another daemon.
+  if (head.NextCopyAfter > Duration{0} && head.Waited >= head.NextCopyAfter) {
+    out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Stale,
+                         head.Flow, NoServerIndex));
+    return;
+  }
   TrackedFlow *flow = Flows.find(head.Flow);
   if (flow && flow->FirstSequence == head.Sequence) {
     handleOpeningCopy(now, *flow, head, bytes, n, out);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -111,6 +111,8 @@
   /// Tells whether the packets that are handled next have waited in the socket
   /// while this process was suspended.
   void setDelayed(bool isDelayed) { Delayed = isDelayed; }
+  /// See setDelayed().
+  bool isDelayed() const { return Delayed; }
 
   /// Handles one packet of \p n bytes from a caller.
   void handlePacket(TimePoint now, const PacketHeader &head,
--- a/Balsamrack/Packets/PacketSocket.cpp
+++ b/Balsamrack/Packets/PacketSocket.cpp
@@ -4,8 +4,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
+#include <cstring>
+#include <ctime>
 #include <utility>
 
 #include "Balsamrack/Core/DatagramSocket.h"
@@ -35,6 +38,17 @@
   std::array<sockaddr_in, PacketSocket::BatchSize> Addresses{};
 };
 
+/// Room for the control messages of one received packet.
+struct alignas(cmsghdr) ControlBuffer {
+  std::array<uint8_t, CMSG_SPACE(sizeof(timespec))> Bytes{};
+};
+
+Duration toDuration(const timespec &time) {
+  constexpr int64_t MicrosPerSecond = 1'000'000;
+  constexpr int64_t NanosPerMicro = 1'000;
+  return Duration(time.tv_sec * MicrosPerSecond + time.tv_nsec / NanosPerMicro);
+}
+
 class BatchSocket final : public PacketSocket {
 public:
   BatchSocket(int fd, Address at) : Fd(fd), LocalAddress(std::move(at)) {}
@@ -45,6 +59,7 @@
   const Address &at() const override { return LocalAddress; }
   int fd() const override { return Fd; }
   size_t receive(const PacketCallback &got) override;
+  std::optional<Duration> waited() const override;
   uint8_t *prepare(const Endpoint &to, size_t n) override;
   void flush() override;
   const PacketSocketCounters &counters() const override { return Counters; }
@@ -53,20 +68,26 @@
   const int Fd;
   const Address LocalAddress;
   PacketBatch In;
+  std::array<ControlBuffer, BatchSize> Controls;
+  size_t Current = 0; ///< Index of the packet of the current callback.
   PacketBatch Out;
   size_t Prepared = 0;
   PacketSocketCounters Counters;
 };
 
 size_t BatchSocket::receive(const PacketCallback &got) {
-  for (size_t i = 0; i < BatchSize; ++i)
+  for (size_t i = 0; i < BatchSize; ++i) {
     In.Buffers[i].iov_len = MaxPacketBytes;
+    In.Messages[i].msg_hdr.msg_control = Controls[i].Bytes.data();
+    In.Messages[i].msg_hdr.msg_controllen = Controls[i].Bytes.size();
+  }
   int n = recvmmsg(Fd, In.Messages.data(), BatchSize, MSG_DONTWAIT, nullptr);
   if (n <= 0)
     return 0;
   auto count = static_cast<size_t>(n);
   Counters.Received += count;
   for (size_t i = 0; i < count; ++i) {
+    Current = i;
     if ((In.Messages[i].msg_hdr.msg_flags & MSG_TRUNC) != 0)
       ++Counters.TooLong;
     else
@@ -75,6 +96,21 @@
   return count;
 }
 
+std::optional<Duration> BatchSocket::waited() const {
+  // CMSG_NXTHDR() takes no constant.
+  msghdr head = In.Messages[Current].msg_hdr;
+  for (cmsghdr *it = CMSG_FIRSTHDR(&head); it; it = CMSG_NXTHDR(&head, it)) {
+    if (it->cmsg_level != SOL_SOCKET || it->cmsg_type != SCM_TIMESTAMPNS)
+      continue;
+    timespec arrived{}, now{};
+    std::memcpy(&arrived, CMSG_DATA(it), sizeof arrived);
+    clock_gettime(CLOCK_REALTIME, &now);
+    // Negative if the time of day was set back since.
+    return std::max(toDuration(now) - toDuration(arrived), Duration{0});
+  }
+  return std::nullopt;
+}
+
 uint8_t *BatchSocket::prepare(const Endpoint &to, size_t n) {
   assert(n <= MaxPacketBytes);
   if (Prepared == BatchSize)
@@ -114,6 +150,9 @@
   auto fd = openDatagramSocket(at, BufferBytes);
   if (!fd.ok())
     return fd.status();
+  // Without time stamps, waited() returns nothing.
+  int one = 1;
+  (void)setsockopt(*fd, SOL_SOCKET, SO_TIMESTAMPNS, &one, sizeof one);
   return std::unique_ptr<PacketSocket>(std::make_unique<BatchSocket>(*fd, at));
 }
 
--- a/Balsamrack/Packets/PacketSocket.h
+++ b/Balsamrack/Packets/PacketSocket.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "Balsamrack/Core/Address.h"
 #include "Balsamrack/Packets/Packet.h"
@@ -45,6 +46,10 @@
   virtual int fd() const = 0;
   /// Receives one batch; returns the number of packets.
   virtual size_t receive(const PacketCallback &got) = 0;
+  /// Time that the packet of the current PacketCallback has waited in the
+  /// socket; empty if the system does not tell. Precondition: called within a
+  /// PacketCallback.
+  virtual std::optional<Duration> waited() const = 0;
   /// Buffer for a packet of \p n bytes to \p to, which is sent by the next
   /// flush() at the latest. Precondition: n <= MaxPacketBytes.
   virtual uint8_t *prepare(const Endpoint &to, size_t n) = 0;
--- a/UnitTests/Daemon/PacketForwarderTest.cpp
+++ b/UnitTests/Daemon/PacketForwarderTest.cpp
@@ -36,10 +36,13 @@
       : Time(time), Event(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
   ~SuspendingSocket() override { close(Event); }
 
-  /// Delivers \p packet when the process resumes after \p suspension.
-  void deliver(const std::vector<uint8_t> &packet, Duration suspension) {
+  /// Delivers \p packet when the process resumes after \p suspension; \p
+  /// waited: see PacketSocket.
+  void deliver(const std::vector<uint8_t> &packet, Duration suspension,
+               std::optional<Duration> waited = std::nullopt) {
     {
       std::lock_guard<std::mutex> hold(Lock);
+      Waited = waited;
       Packets.push_back(packet);
       Suspension = suspension;
     }
@@ -60,6 +63,7 @@
       got(Packets.front().data(), Packets.front().size());
     return n;
   }
+  std::optional<Duration> waited() const override { return Waited; }
   uint8_t *prepare(const Endpoint &, size_t) override {
     ++Prepared;
     return Buffer.data();
@@ -74,6 +78,7 @@
   std::mutex Lock; ///< Guards Packets and Suspension.
   std::deque<std::vector<uint8_t>> Packets;
   Duration Suspension{0};
+  std::optional<Duration> Waited;
   std::array<uint8_t, MaxPacketBytes> Buffer{};
   size_t Prepared = 0;
   std::atomic<size_t> Sent{0};
@@ -104,17 +109,19 @@
   return builder.takeUpdate(TimePoint(Duration(1)));
 }
 
-/// The opening of the platform's documentation.
-std::vector<uint8_t> opening() {
-  return {0xd5, 0xc3, 0xb2, 0xa1, 0,    0,    1,    0, 0x12, 0xc6, 0x41,
-          0x9c, 0xbb, 0x01, 7,    0,    0x40, 0x64, 0, 0,    0,    0,
-          2,    0x44, 0x33, 0x22, 0x11, 0,    0,    0, 0};
+/// The opening of the platform's documentation, with another caller.
+std::vector<uint8_t> opening(uint8_t caller) {
+  return {0xd5, 0xc3, 0xb2, 0xa1,   0,    0,    1,    0, 0x12, 0xc6, 0x41,
+          0x9c, 0xbb, 0x01, caller, 0,    0x40, 0x64, 0, 0,    0,    0,
+          2,    0x44, 0x33, 0x22,   0x11, 0,    0,    0, 0};
 }
 
 struct SuspensionCase {
   const char *Name;
   Duration Suspension;
   bool Waits; ///< The opening waits for an update of the routes.
+  std::optional<Duration> Waited{}; ///< Time that it waited in the socket.
+  bool IsOutdated = false;          ///< It is not forwarded.
 };
 
 class EachSuspension : public testing::TestWithParam<SuspensionCase> {
@@ -152,14 +159,18 @@
   PacketForwarder forwarder(settings, Codec, std::move(created), Time, 1,
                             Telemetry, [&] { ++pauses; });
   forwarder.apply(oneServer());
-  socket.deliver(opening(), GetParam().Suspension);
+  socket.deliver(opening(7), GetParam().Suspension, GetParam().Waited);
   ASSERT_TRUE(waitUntil([&] { return forwarder.received() == 1; }));
   if (GetParam().Waits) {
     EXPECT_TRUE(waitUntil([&] { return pauses == 1; }));
     EXPECT_EQ(socket.sent(), 0U);
     forwarder.setFresh();
   }
-  EXPECT_TRUE(waitUntil([&] { return socket.sent() == 1; }));
+  // The next opening is forwarded in any case.
+  socket.deliver(opening(8), Duration{0});
+  size_t forwarded = GetParam().IsOutdated ? 1 : 2;
+  EXPECT_TRUE(waitUntil([&] { return socket.sent() >= forwarded; }));
+  EXPECT_EQ(socket.sent(), forwarded);
   EXPECT_EQ(pauses, GetParam().Waits ? 1 : 0);
 }
 
@@ -167,7 +178,11 @@
     Suspensions, EachSuspension,
     testing::Values(SuspensionCase{"None", Duration(0), false},
                     SuspensionCase{"Short", Duration(200'000), false},
-                    SuspensionCase{"Long", Duration(1'500'000), true}),
+                    SuspensionCase{"Long", Duration(1'500'000), true},
+                    SuspensionCase{"LongRecentOpening", Duration(1'500'000),
+                                   true, Duration(100'000)},
+                    SuspensionCase{"LongOutdatedOpening", Duration(1'500'000),
+                                   true, Duration(200'000), true}),
     [](const auto &info) { return std::string(info.param.Name); });
 
 } // namespace
