Log how a daemon found the server of a disputed flow

The logs of reset flows didn't tell the hypotheses apart: ordinary events are logged for one flow in eight, and nothing said that a packet's token names another server than the tracked one. Now server-differs is reported once a flow, with both servers and how the tracked one was found; confirmed and adopted have that evidence too, and are always logged where another daemon may know another server (later copies, several servers, an adoption other than by a plain token). Placements have the copy number.

No decision changes.

--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -102,8 +102,14 @@
 
 bool PacketTelemetry::isLogged(const PacketEvent &event) {
   if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed ||
-      event.Kind == PacketEventKind::Waited ||
-      event.Reason == PacketReason::SecondAnswer)
+      event.Kind == PacketEventKind::Waited)
+    return true;
+  // Other daemons or servers may know another server of these flows.
+  if (event.Kind == PacketEventKind::Confirmed &&
+      (event.Tries > 1 || event.Copy > 0))
+    return true;
+  if (event.Kind == PacketEventKind::Adopted &&
+      event.Evidence != ServerEvidence::Token)
     return true;
   uint64_t hash =
       combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
@@ -144,6 +150,10 @@
     line.text("reason", why);
   if (event.Server)
     line.text("server", event.Server->str());
+  if (event.TokenServer)
+    line.text("token_server", event.TokenServer->str());
+  if (event.Evidence != ServerEvidence::None)
+    line.text("evidence", serverEvidenceName(event.Evidence));
   if (event.Service) {
     line.text("service", event.Service->str());
     line.number("in_progress", event.InProgress);
@@ -159,6 +169,8 @@
   }
   if (event.Tries > 0)
     line.number("tries", event.Tries);
+  if (event.Copy > 0)
+    line.number("copy", event.Copy);
   if (event.Took > Duration{0})
     line.millis("took_ms", event.Took);
   if (event.SlowRatio > 0)
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -4,13 +4,19 @@
 
 const char *packetEventName(PacketEventKind kind) {
   static const char *const names[PacketEventKinds] = {
-      "placed",  "placed-again",   "confirmed",      "adopted",
-      "ended",   "abandoned",      "forgotten",      "refused",
-      "dropped", "given-up",       "server-silent",  "server-back",
-      "waited",  "server-ejected", "server-returned"};
+      "placed",  "placed-again",   "confirmed",       "adopted",
+      "ended",   "abandoned",      "forgotten",       "refused",
+      "dropped", "given-up",       "server-silent",   "server-back",
+      "waited",  "server-ejected", "server-returned", "server-differs"};
   return names[static_cast<size_t>(kind)];
 }
 
+const char *serverEvidenceName(ServerEvidence evidence) {
+  static const char *const names[ServerEvidences] = {
+      "none", "handshake", "first-packet", "late-answer", "token"};
+  return names[static_cast<size_t>(evidence)];
+}
+
 const char *packetReasonName(PacketReason reason) {
   static const char *const names[PacketReasons] = {
       "none",          "no-route",          "no-server",
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -29,9 +29,11 @@
   Waited,         ///< An opening was placed after it had waited for room.
   ServerEjected,  ///< A slow server gets no new flows.
   ServerReturned, ///< An ejected server gets new flows again.
+  ServerDiffers,  ///< The token of a packet names another server than the one
+                  ///< that is tracked for its flow.
 };
 /// Number of kinds.
-constexpr size_t PacketEventKinds = 15;
+constexpr size_t PacketEventKinds = 16;
 
 /// Reason for an event.
 enum class PacketReason {
@@ -60,6 +62,19 @@
 /// Number of reasons.
 constexpr size_t PacketReasons = 17;
 
+/// How the server of a flow was found.
+enum class ServerEvidence : uint8_t {
+  None,        ///< Not known: the opening was sent to it.
+  Handshake,   ///< The caller answered it after an opening that was sent here.
+  FirstPacket, ///< The token of the first packet after the opening.
+  LateAnswer,  ///< The token of the late answer of a further server.
+  Token,       ///< The token of a later packet.
+};
+/// Number of elements of ServerEvidence.
+constexpr size_t ServerEvidences = 5;
+
+/// Name of \p evidence in lower case with hyphens. Thread-safe.
+const char *serverEvidenceName(ServerEvidence evidence);
 /// Name of a kind in lower case with hyphens. Thread-safe.
 const char *packetEventName(PacketEventKind kind);
 /// Name of a reason in lower case with hyphens. Thread-safe.
@@ -73,7 +88,13 @@
   const ServerId *Server =
       nullptr; ///< Server concerned; null for none. Valid only during the call.
   const ServiceId *Service = nullptr; ///< Service concerned; as Server.
-  uint32_t Tries = 0;      ///< Servers that the opening was sent to so far.
+  const ServerId *TokenServer =
+      nullptr; ///< ServerDiffers: server that the token names; as Server.
+  ServerEvidence Evidence =
+      ServerEvidence::None; ///< How Server was found, for open flows.
+  uint32_t Tries = 0;       ///< Servers that the opening was sent to so far.
+  uint32_t Copy = 0; ///< Placed, PlacedAgain, Confirmed: highest copy number of
+                     ///< the opening that was received here.
   uint32_t InProgress = 0; ///< Requests of this daemon in progress at the
                            ///< server, including this one. NoRoom: at all
                            ///< usable servers of the service.
--- a/Balsamrack/Packets/PacketFailures.cpp
+++ b/Balsamrack/Packets/PacketFailures.cpp
@@ -44,6 +44,7 @@
   PacketEvent event =
       makeEvent(PacketEventKind::GivenUp, PacketReason::Unreachable, head.Flow,
                 flow.Server);
+  event.Evidence = flow.Evidence;
   out.report(event);
 }
 
--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -10,6 +10,13 @@
   return std::find(Tried.begin(), end, server) != end;
 }
 
+uint8_t TrackedFlow::highestCopySeen() const {
+  uint8_t highest = 0;
+  while (CopiesSeen >> (highest + 1) != 0)
+    ++highest;
+  return highest;
+}
+
 uint8_t TrackedFlow::indexOfTried(ServerIndex server) const {
   assert(hasTried(server));
   return static_cast<uint8_t>(std::find(Tried.begin(), Tried.end(), server) -
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -10,6 +10,7 @@
 
 #include "Balsamrack/Core/Time.h"
 #include "Balsamrack/Packets/Packet.h"
+#include "Balsamrack/Packets/PacketEvents.h"
 #include "Balsamrack/Packets/RequestTracker.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -56,6 +57,8 @@
                           ///< retransmitted, so its time is measured.
   bool IsOverdue = false; ///< Its request was recorded as slow.
   float LogQueue = 0;     ///< See SpeedSample::LogQueue.
+  bool IsDifferenceReported = false; ///< A ServerDiffers event was reported.
+  ServerEvidence Evidence = ServerEvidence::None; ///< How Server was found.
   ServerIndex Server = NoServerIndex; ///< Destination of its packets.
   uint32_t FirstSequence = 0; ///< Sequence number of the opening; distinguishes
                               ///< a new flow on the same ports from a copy.
@@ -69,6 +72,8 @@
 
   /// True when the opening was sent to \p server.
   bool hasTried(ServerIndex server) const;
+  /// Highest copy number of the opening that was received here; zero for none.
+  uint8_t highestCopySeen() const;
   /// Index of \p server in Tried. Precondition: hasTried(\p server).
   uint8_t indexOfTried(ServerIndex server) const;
 };
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -226,6 +226,7 @@
       makeEvent(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
                 copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
   event.Tries = flow.Tries;
+  event.Copy = flow.highestCopySeen();
   out.report(event);
   UnansweredOpening waiting;
   waiting.Due = now + Timeout.value();
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -209,6 +209,7 @@
   if (!flow)
     return;
   flow->LastSeen = now;
+  compareServers(*flow, head, out);
   if (flow->Stage == FlowStage::Open && flow != &spare)
     trackRequests(now, *flow, head);
   if (isRequestLost(*flow, head)) {
@@ -223,6 +224,7 @@
                                               : PacketEventKind::Ended,
                                   PacketReason::None, head.Flow, flow->Server);
     event.Took = now - flow->OpenedAt;
+    event.Evidence = flow->Evidence;
     out.report(event);
   }
   forward(flow->Server, Servers.at(flow->Server).Backend.Token, bytes, n, out);
@@ -271,10 +273,13 @@
   flow.Stage = FlowStage::Open;
   if (flow.Tries == 1 && flow.HighestCopy == 0)
     Timeout.addSample(now - flow.LastSent);
+  flow.Evidence = ServerEvidence::Handshake;
   PacketEvent event = makeEvent(PacketEventKind::Confirmed, PacketReason::None,
                                 head.Flow, flow.Server);
   event.Took = now - flow.OpenedAt;
   event.Tries = flow.Tries;
+  event.Copy = flow.highestCopySeen();
+  event.Evidence = flow.Evidence;
   out.report(event);
   recordReached(flow.Server);
   Detector.reportDelivered(flow.Server, flow.LastSent);
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -304,6 +304,8 @@
   void refuse(const PacketHeader &head, PacketReason why, PacketSink &out);
   void trackRequests(TimePoint now, TrackedFlow &flow,
                      const PacketHeader &head);
+  void compareServers(TrackedFlow &flow, const PacketHeader &head,
+                      PacketSink &out);
   void countRequest(TimePoint now, TrackedFlow &flow, ServerIndex at);
   void uncountRequest(TrackedFlow &flow);
   void reportRecovery(ServerIndex server, bool wasSilent, bool domainWasSilent,
--- a/Balsamrack/Packets/PacketTokens.cpp
+++ b/Balsamrack/Packets/PacketTokens.cpp
@@ -113,11 +113,38 @@
   // Recognizes a late copy of the opening.
   if (match.Reason == PacketReason::FirstPacket)
     flow->FirstSequence = head.Sequence - 1;
-  out.report(makeEvent(PacketEventKind::Adopted, match.Reason, head.Flow,
-                       match.Server));
+  if (match.Reason == PacketReason::FirstPacket)
+    flow->Evidence = ServerEvidence::FirstPacket;
+  else if (match.Reason == PacketReason::SecondAnswer)
+    flow->Evidence = ServerEvidence::LateAnswer;
+  else
+    flow->Evidence = ServerEvidence::Token;
+  PacketEvent event = makeEvent(PacketEventKind::Adopted, match.Reason,
+                                head.Flow, match.Server);
+  event.Evidence = flow->Evidence;
+  out.report(event);
   return flow;
 }
 
+void PacketRouter::compareServers(TrackedFlow &flow, const PacketHeader &head,
+                                  PacketSink &out) {
+  if (head.Token == Servers.at(flow.Server).Backend.Token ||
+      flow.IsDifferenceReported)
+    return;
+  auto route = Routes->Routes.find(head.Flow.Service);
+  ServerIndex named = NoServerIndex;
+  if (route == Routes->Routes.end() ||
+      findAllowed(head.Token, route->second, named) != PacketReason::None ||
+      named == flow.Server)
+    return;
+  flow.IsDifferenceReported = true;
+  PacketEvent event = makeEvent(PacketEventKind::ServerDiffers,
+                                PacketReason::None, head.Flow, flow.Server);
+  event.TokenServer = &Servers.at(named).Backend.Published->Server.Id;
+  event.Evidence = flow.Evidence;
+  out.report(event);
+}
+
 ServerIndex PacketRouter::answeredServer(TimePoint now, const TrackedFlow &flow,
                                          const PacketHeader &head) const {
   // Packets may overtake the first one, while the fabric does not move a flow
