--- a/UnitTests/Packets/MovedHandshakeTest.cpp
+++ b/UnitTests/Packets/MovedHandshakeTest.cpp
@@ -221,5 +221,151 @@
   EXPECT_EQ(Second.lastTag(), First.lastTag());
 }
 
+struct WaitingCopy {
+  const char *Name;
+  uint8_t Copy; ///< The copy that waits in the first daemon.
+  uint32_t
+      Request; ///< The packet of the open flow that the first daemon gets next.
+};
+
+class EachWaitingCopy : public MovedHandshakeTest,
+                        public testing::WithParamInterface<WaitingCopy> {};
+
+// A copy of an opening waits in a resumed daemon while the flow opens through
+// another one. Guards against sending the open flow to a second server.
+TEST_P(EachWaitingCopy, MovesNoOpenFlow) {
+  First.Router.setStale();
+  First.Router.setDelayed(true);
+  First.sendOpening(Port, GetParam().Copy);
+  First.Router.setDelayed(false);
+  Second.sendOpening(Port, GetParam().Copy + 1);
+  uint64_t home = Second.lastTag();
+  uint32_t token = Second.lastToken();
+  if (GetParam().Request > 0) {
+    Second.sendRequest(Port, token, 0);
+    token = Second.lastToken();
+  }
+  First.sendRequest(Port, token, GetParam().Request);
+  ASSERT_EQ(First.lastTag(), home);
+  First.Router.setFresh();
+  First.advance(Millisecond * 30);
+  EXPECT_FALSE(First.Out.reported(PacketEventKind::Placed, PacketReason::None));
+  First.sendRequest(Port, First.lastToken(), GetParam().Request + 1);
+  EXPECT_EQ(First.lastTag(), home);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Copies, EachWaitingCopy,
+    testing::Values(WaitingCopy{"FirstCopyFirstPacket", 0, 0},
+                    WaitingCopy{"FirstCopyLaterPacket", 0, 1},
+                    WaitingCopy{"SecondCopyFirstPacket", 1, 0},
+                    WaitingCopy{"SecondCopyLaterPacket", 1, 1}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+// Guards against a server that a daemon inferred before and then prefers to the
+// one that the flow's own packets name.
+TEST_F(MovedHandshakeTest, ThePlainTokenReplacesAnInferredServer) {
+  First.sendOpening(Port);
+  uint64_t silent = First.lastTag();
+  retryUntil(2);
+  uint64_t home = First.lastTag();
+  Third.sendRequest(Port, First.lastToken(), 0);
+  First.sendRequest(Port, First.lastToken(), 0);
+  ASSERT_EQ(First.lastTag(), home);
+  uint32_t plain = First.lastToken();
+  Third.sendRequest(Port, plain, 1);
+  EXPECT_EQ(Third.lastTag(), home);
+  EXPECT_NE(Third.lastTag(), silent);
+}
+
+// The caller has accepted the server of a second try. Guards against forwarding
+// the rest of its first packets to the first server, which has the opening and
+// resets the flow.
+TEST_F(MovedHandshakeTest, ARescuedFlowIsNotSentToTheFirstServer) {
+  First.sendOpening(Port);
+  retryUntil(2);
+  uint64_t home = First.lastTag();
+  uint32_t token = First.lastToken();
+  First.sendRequest(Port, token, 0);
+  ASSERT_EQ(First.lastTag(), home);
+  Third.sendRequest(Port, token, 1);
+  EXPECT_TRUE(Third.Out.Sent.empty() || Third.lastTag() == home);
+}
+
+// A daemon has forwarded a delayed copy of the opening of an open flow. Guards
+// against following the token of its late answer because the copy is recent.
+TEST_F(MovedHandshakeTest, ARecentCopyMovesNoOpenFlow) {
+  Second.sendOpening(Port, 1);
+  uint64_t home = Second.lastTag();
+  Second.sendRequest(Port, Second.lastToken(), 0);
+  First.Router.setDelayed(true);
+  First.sendOpening(Port);
+  First.Router.setDelayed(false);
+  uint32_t late = First.lastToken();
+  First.advance(Millisecond * 10);
+  First.Out.Sent.clear();
+  First.sendRequest(Port, late, 1);
+  for (const RecordingSink::Forwarded &it : First.Out.Sent)
+    EXPECT_EQ(it.Tag, home);
+}
+
+// The fabric moves a flow during its handshake and back while its first request
+// runs. Guards against following a late answer when that request is
+// retransmitted.
+TEST_F(MovedHandshakeTest, ARetransmittedFirstPacketMovesNoFlow) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  Second.sendRequest(Port, First.lastToken(), 0);
+  ASSERT_EQ(Second.lastTag(), home);
+  retryUntil(2);
+  uint32_t late = First.lastToken();
+  First.advance(Millisecond * 220);
+  First.Out.Sent.clear();
+  First.sendRequest(Port, late, 0);
+  for (const RecordingSink::Forwarded &it : First.Out.Sent)
+    EXPECT_EQ(it.Tag, home);
+}
+
+struct ReusedPort {
+  const char *Name;
+  bool HasPlainToken; ///< The caller has the token of the open flow.
+};
+
+class EachReusedPort : public MovedHandshakeTest,
+                       public testing::WithParamInterface<ReusedPort> {};
+
+// A caller opens a flow on the port of an earlier one that this daemon still
+// tracks. Guards against forwarding the new flow to the earlier one's server.
+TEST_P(EachReusedPort, FollowsTheNewFlow) {
+  First.sendOpening(Port);
+  uint64_t earlier = First.lastTag();
+  First.sendRequest(Port, First.lastToken(), 0);
+  for (PacketRouterHarness *it : {&First, &Second})
+    it->SequenceOffset = 0x40000000;
+  uint64_t home = earlier;
+  while (home == earlier) {
+    Second.advance(Millisecond * 2'000);
+    Second.sendOpening(Port);
+    home = Second.lastTag();
+    Second.SequenceOffset += 0x01000000;
+  }
+  Second.SequenceOffset -= 0x01000000;
+  First.SequenceOffset = Second.SequenceOffset;
+  uint32_t token = Second.lastToken();
+  if (GetParam().HasPlainToken) {
+    Second.sendRequest(Port, token, 0);
+    token = Second.lastToken();
+  }
+  First.sendRequest(Port, token, GetParam().HasPlainToken ? 1 : 0);
+  EXPECT_EQ(First.lastTag(), home);
+}
+
+INSTANTIATE_TEST_SUITE_P(Tokens, EachReusedPort,
+                         testing::Values(ReusedPort{"Plain", true},
+                                         ReusedPort{"FirstPacket", false}),
+                         [](const auto &info) {
+                           return std::string(info.param.Name);
+                         });
+
 } // namespace
 } // namespace balsamrack
--- a/UnitTests/Packets/PacketRouterHarness.h
+++ b/UnitTests/Packets/PacketRouterHarness.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 #define BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 
+#include <array>
 #include <map>
 #include <string>
 #include <utility>
@@ -139,9 +140,12 @@
                     {"b4", "bern-b"}});
   }
 
-  /// Time from the first copy of an opening to the given copy.
+  /// Time from the first copy of an opening to the given copy, or to the end of
+  /// the attempt for 3.
   static Duration copyAge(uint8_t copy) {
-    return Duration(copy == 0 ? 0 : copy == 1 ? 200'000 : 600'000);
+    constexpr std::array<Duration, 4> Ages{
+        Duration(0), Duration(200'000), Duration(600'000), Duration(1'400'000)};
+    return Ages.at(copy);
   }
   /// The flow of the caller that uses \p callerPort.
   static FlowKey key(uint16_t callerPort, uint16_t port = 443) {
@@ -154,9 +158,10 @@
     PacketHeader head;
     head.Flow = key(callerPort, port);
     head.Opens = true;
-    head.Sequence = firstSequence(callerPort);
+    head.Sequence = firstSequence(callerPort) + SequenceOffset;
     head.CopyNumber = copy;
     head.Age = copyAge(copy);
+    head.NextCopyAfter = copyAge(copy + 1) - head.Age;
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
     Router.tick(Now, Out);
   }
@@ -167,7 +172,7 @@
     head.Flow = key(callerPort, port);
     head.Acknowledges = true;
     head.Token = token;
-    head.Sequence = firstSequence(callerPort) + 1;
+    head.Sequence = firstSequence(callerPort) + SequenceOffset + 1;
     head.DataBytes = data;
     head.Ends = ends;
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
@@ -225,6 +230,8 @@
   /// Timeout and priorities by port that are configured next.
   Duration Timeout{0};
   std::map<uint16_t, uint32_t> Priorities;
+  /// Added to the sequence numbers of all packets, as for another flow.
+  uint32_t SequenceOffset = 0;
   TimePoint Now{Duration(1'000'000)};
   SeededRandom Random;
   PacketRouter Router;
@@ -241,7 +248,7 @@
     head.Flow = key(callerPort);
     head.Acknowledges = true;
     head.Token = token;
-    head.Sequence = firstSequence(callerPort) + 1 + sequence;
+    head.Sequence = firstSequence(callerPort) + SequenceOffset + 1 + sequence;
     head.DataBytes = data;
     head.Acknowledged = acknowledged;
     Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
