Forward a packet of a flow only to a server that is known to have it

Cause: a daemon stored servers of unequal certainty in one field and used them alike. For 100 ms after a copy was sent, any packet was taken for the first one, and so followed the token of a late answer. Tokens of further tries sent any daemon to the server tried before, although the same packet is sent by a caller that has answered the further one. A retransmitted first packet followed them too. And a flow on a port that was used before followed the earlier flow's server.

Now the field holds a server only when that is known to have the flow, and one rule decides: a plain token, which only that server can have returned, replaces what is held; a handshake of which all copies came here, and which one server was offered, needs none; the tokens of openings count on the first packet, and those of further tries only at the daemon that sent them and only before that packet can be a retransmission. Anything else is dropped, as other servers would reset the flow. OpeningCopies tells from the times of copies whether another daemon can have one. A waiting opening is removed by the first packet of its flow, and is not placed while a copy is due that may have opened the flow elsewhere.

--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -220,7 +220,7 @@
       auto head = Codec.decode(packet, bytes);
       if (head) {
         if (Router.isDelayed())
-          head->Waited = Socket->waited().value_or(Duration{0});
+          head->Waited = Socket->waited();
         Router.handlePacket(now, *head, packet, bytes, *this);
         return;
       }
--- a/Balsamrack/Packets/HeldOpenings.h
+++ b/Balsamrack/Packets/HeldOpenings.h
@@ -14,6 +14,7 @@
 /// An opening that waits for room at the servers of its service.
 struct HeldOpening {
   BufferedOpening Opening;  ///< The packet.
+  OpeningCopies Copies;     ///< Its copies that have arrived.
   uint64_t Id = 0;          ///< Its OpeningRequest::Id.
   ServiceId Service;        ///< Service that it was queued for.
   TimePoint ArrivedAt;      ///< When it arrived here.
--- a/Balsamrack/Packets/OpeningQueue.cpp
+++ b/Balsamrack/Packets/OpeningQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <cstring>
+#include <iterator>
 
 namespace balsamrack {
 
@@ -15,18 +16,31 @@
   return true;
 }
 
-bool OpeningQueue::push(const BufferedOpening &opening, TimePoint until) {
+bool OpeningQueue::push(const Item &item) {
+  assert(ByFlow.count(item.Opening.Head.Flow) == 0);
   if (Items.size() >= MaxOpenings)
     return false;
-  Items.push_back({opening, until});
+  Items.push_back(item);
+  ByFlow[item.Opening.Head.Flow] = std::prev(Items.end());
   return true;
 }
 
+std::optional<OpeningQueue::Item> OpeningQueue::take(const FlowKey &flow) {
+  // Most packets arrive while nothing waits.
+  if (Items.empty())
+    return std::nullopt;
+  auto it = ByFlow.find(flow);
+  if (it == ByFlow.end())
+    return std::nullopt;
+  Item item = *it->second;
+  Items.erase(it->second);
+  ByFlow.erase(it);
+  return item;
+}
+
 OpeningQueue::Item OpeningQueue::pop() {
   assert(!Items.empty());
-  Item item = Items.front();
-  Items.pop_front();
-  return item;
+  return *take(Items.front().Opening.Head.Flow);
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/OpeningQueue.h
+++ b/Balsamrack/Packets/OpeningQueue.h
@@ -4,11 +4,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
 
 #include "Balsamrack/Core/Time.h"
+#include "Balsamrack/Packets/OpeningCopies.h"
 #include "Balsamrack/Packets/Packet.h"
+#include "absl/container/flat_hash_map.h"
 
 namespace balsamrack {
 
@@ -26,7 +28,7 @@
 };
 
 /// Bounded queue of openings that wait for the first routes after a start or a
-/// pause, or for free slots. Not thread-safe.
+/// pause, or for free slots; at most one of each flow. Not thread-safe.
 class OpeningQueue {
 public:
   /// Capacity: openings that one daemon of a small site receives in half a
@@ -35,12 +37,16 @@
 
   /// One waiting opening.
   struct Item {
-    BufferedOpening Opening; ///< The opening.
+    BufferedOpening Opening; ///< The copy that arrived last.
+    OpeningCopies Copies;    ///< All copies that have arrived.
     TimePoint Deadline;      ///< Latest time to remove it from the queue.
   };
 
-  /// Appends an opening; false when the queue is full.
-  bool push(const BufferedOpening &opening, TimePoint until);
+  /// Appends an opening; false when the queue is full. Precondition: none of
+  /// its flow is in the queue.
+  bool push(const Item &item);
+  /// Removes and returns the opening of \p flow; nothing if there is none.
+  std::optional<Item> take(const FlowKey &flow);
   /// Number of waiting openings.
   size_t size() const { return Items.size(); }
   /// True when the queue is empty.
@@ -51,7 +57,8 @@
   Item pop();
 
 private:
-  std::deque<Item> Items; ///< In order of arrival.
+  std::list<Item> Items; ///< In order of arrival.
+  absl::flat_hash_map<FlowKey, std::list<Item>::iterator> ByFlow;
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/OpeningTokens.cpp
+++ b/Balsamrack/Packets/OpeningTokens.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-enum class MaskKind : uint8_t { FirstPacket = 1, Referring = 2 };
+/// The value 2 was used by earlier versions, whose tokens other daemons follow.
+enum class MaskKind : uint8_t { FirstPacket = 1, FurtherTry = 3 };
 
 uint32_t mask(MaskKind kind, const FlowKey &flow, uint32_t number) {
   uint64_t ends = combineHash(combineHash(flow.Caller.Ip, flow.Caller.Port),
@@ -28,9 +29,9 @@
   return token ^ mask(MaskKind::FirstPacket, flow, sequence);
 }
 
-uint32_t referringToken(uint32_t serverToken, const FlowKey &flow,
-                        uint8_t attempt) {
-  return serverToken ^ mask(MaskKind::Referring, flow, attempt);
+uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
+                         uint8_t attempt) {
+  return serverToken ^ mask(MaskKind::FurtherTry, flow, attempt);
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/OpeningTokens.h
+++ b/Balsamrack/Packets/OpeningTokens.h
@@ -15,10 +15,11 @@
 // the server that has the flow. A daemon that does not track the flow would
 // then forward it to a server that never had it, which resets it.
 //
-// The token of a server is therefore written only on packets of open flows.
-// An opening carries one of the tokens below. Each is the token of a server
-// combined with a hash, so that every daemon finds the server again; a token
-// that is combined with another hash belongs to no server.
+// The plain token of a server is therefore written only on packets of open
+// flows: a caller that returns it has received it from the server that has the
+// flow. An opening carries one of the tokens below, the token of a server
+// combined with a hash; a token that is combined with another hash belongs to
+// no server.
 
 /// Token for an opening that is forwarded to the server with \p serverToken
 /// when it arrives from its caller. It identifies the server on the first
@@ -33,14 +34,14 @@
 uint32_t serverOfFirstPacket(uint32_t token, const FlowKey &flow,
                              uint32_t sequence);
 
-/// Token for an opening that is forwarded to a further server because the one
-/// with \p serverToken has left it unanswered for some time. It refers to the
-/// earlier server: either the flow is open there through another daemon, or the
-/// caller answers the further server, which the sending daemon recognizes by \p
-/// attempt, the number of servers tried before. Self-inverse with respect to \p
-/// serverToken. Pure, thread-safe.
-uint32_t referringToken(uint32_t serverToken, const FlowKey &flow,
-                        uint8_t attempt);
+/// Token for an opening that is forwarded to the server with \p serverToken
+/// because those before have left it unanswered for some time. Only the daemon
+/// that has sent it finds the server again: either the caller answers that
+/// server, or an earlier one through another daemon, and the caller's packets
+/// are the same in both cases. \p attempt is the number of servers tried
+/// before. Pure, thread-safe.
+uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
+                         uint8_t attempt);
 
 } // namespace balsamrack
 
--- a/Balsamrack/Packets/Packet.h
+++ b/Balsamrack/Packets/Packet.h
@@ -2,6 +2,7 @@
 #define BALSAMRACK_PACKETS_PACKET_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -67,8 +68,8 @@
   Duration NextCopyAfter{
       0}; ///< Time from this copy to the next one, or after the last copy
           ///< until the caller gives up; zero if not known.
-  Duration Waited{0}; ///< Time that the packet has waited in the socket, as far
-                      ///< as it is known.
+  std::optional<Duration>
+      Waited; ///< Time that the packet has waited in the socket, if known.
   uint16_t DataBytes = 0;    ///< Bytes after the header.
   bool Opens = false;        ///< First packet of a flow, or a copy of it.
   bool Acknowledges = false; ///< Acknowledged is valid.
--- a/Balsamrack/Packets/PacketAdmission.cpp
+++ b/Balsamrack/Packets/PacketAdmission.cpp
@@ -67,10 +67,12 @@
 }
 
 bool PacketRouter::admit(TimePoint now, const PacketHeader &head,
-                         const uint8_t *bytes, size_t n, PacketSink &out) {
+                         const uint8_t *bytes, size_t n,
+                         const OpeningCopies &copies, PacketSink &out) {
   if (HeldOpening *held = Held.find(head.Flow)) {
     OpeningAdmission &admission = Admissions.at(held->Service);
     if (held->Opening.Head.Sequence == head.Sequence) {
+      held->Copies.add(now, head, mayHaveWaited());
       if (head.CopyNumber > 0) {
         admission.setNotRefusable(held->Id);
         held->RefusableUntil = {};
@@ -93,12 +95,13 @@
   if (!admission->isShort())
     return false;
   if (verdict == OpeningVerdict::Place) {
-    place(now, head, bytes, n, out);
+    place(now, head, bytes, n, copies, out);
   } else if (verdict == OpeningVerdict::Refuse) {
     refuseForRoom(now, head, request, *service, out);
   } else {
     HeldOpening held;
     held.Opening.assign(head, bytes, n);
+    held.Copies = copies;
     held.Id = request.Id;
     held.Service = *service;
     held.ArrivedAt = now;
@@ -136,7 +139,8 @@
     return;
   head.Age += now - held.ArrivedAt;
   MayReset = now <= held.RefusableUntil;
-  place(now, head, held.Opening.Packet.data(), held.Opening.Bytes, out);
+  place(now, head, held.Opening.Packet.data(), held.Opening.Bytes, held.Copies,
+        out);
   MayReset = true;
   const TrackedFlow *flow = Flows.find(head.Flow);
   if (!flow)
@@ -288,7 +292,8 @@
 }
 
 bool PacketRouter::queueLateOpening(TimePoint now, const PacketHeader &head,
-                                    const uint8_t *bytes, size_t n) {
+                                    const uint8_t *bytes, size_t n,
+                                    const OpeningCopies &copies) {
   auto route = Routes->Routes.find(head.Flow.Service);
   if (route == Routes->Routes.end())
     return false;
@@ -296,8 +301,10 @@
       {head.Age, route->second.Objective, route->second.Timeout});
   if (wait == Duration{0} || !areSlotsTakenFor(now, head))
     return false;
-  BufferedOpening opening;
-  return opening.assign(head, bytes, n) && Late.push(opening, now + wait);
+  OpeningQueue::Item item;
+  item.Copies = copies;
+  item.Deadline = now + wait;
+  return item.Opening.assign(head, bytes, n) && Late.push(item);
 }
 
 bool PacketRouter::areSlotsTakenFor(TimePoint now, const PacketHeader &head) {
@@ -316,12 +323,10 @@
   for (size_t n = Late.size(); n > 0; --n) {
     OpeningQueue::Item item = Late.pop();
     const BufferedOpening &opening = item.Opening;
-    // A later copy may have been forwarded already.
-    if (isTrackedOpening(opening.Head))
-      continue;
     bool waits = now < item.Deadline && areSlotsTakenFor(now, opening.Head);
-    if (!waits || !Late.push(opening, item.Deadline))
-      place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
+    if (!waits || !Late.push(item))
+      place(now, opening.Head, opening.Packet.data(), opening.Bytes,
+            item.Copies, out);
   }
 }
 
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -12,8 +12,8 @@
 }
 
 const char *serverEvidenceName(ServerEvidence evidence) {
-  static const char *const names[ServerEvidences] = {
-      "none", "handshake", "first-packet", "late-answer", "token"};
+  static const char *const names[ServerEvidences] = {"none", "handshake",
+                                                     "first-packet", "token"};
   return names[static_cast<size_t>(evidence)];
 }
 
@@ -24,7 +24,7 @@
       "foreign-token", "no-token",          "not-ready",
       "stale",         "malformed",         "copy",
       "no-room",       "slower-than-peers", "half-of-slots",
-      "first-packet",  "second-answer"};
+      "first-packet",  "undecided"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -29,8 +29,8 @@
   Waited,         ///< An opening was placed after it had waited for room.
   ServerEjected,  ///< A slow server gets no new flows.
   ServerReturned, ///< An ejected server gets new flows again.
-  ServerDiffers,  ///< The token of a packet names another server than the one
-                  ///< that is tracked for its flow.
+  ServerDiffers,  ///< The plain token of a packet names another server than
+                  ///< the one that was tracked for its flow, and replaces it.
 };
 /// Number of kinds.
 constexpr size_t PacketEventKinds = 16;
@@ -43,8 +43,9 @@
   NoAnswer,     ///< All servers that were tried left the opening unanswered.
   Unreachable,  ///< All servers of the service, or the server of the flow, are
                 ///< unreachable.
-  UnknownToken, ///< The token belongs to no server that is known here, or comes
-                ///< from the late answer of a server that lacks the flow.
+  UnknownToken, ///< The token belongs to no server that is known here, or was
+                ///< written on an opening by another daemon and does not tell
+                ///< which server the caller has answered.
   ForeignToken, ///< The token belongs to a server that the route never allowed.
   NoToken,      ///< A packet without a token on an unknown flow.
   NotReady,     ///< No published state has been received yet.
@@ -54,10 +55,10 @@
   NoRoom,       ///< The servers have more work than they can do in time.
   SlowerThanPeers, ///< Its requests take three times as long as its peers'.
   HalfOfSlots,     ///< It gets new flows for half of its slots at first.
-  FirstPacket,  ///< Adopted: its opening went through another daemon, and this
-                ///< is the first packet after it.
-  SecondAnswer, ///< Adopted: a second server answered its opening, too late to
-                ///< get the flow.
+  FirstPacket, ///< Adopted: its opening went through another daemon, and this
+               ///< is the first packet after it.
+  Undecided,   ///< Several servers may have the flow, and its token does not
+               ///< tell which.
 };
 /// Number of reasons.
 constexpr size_t PacketReasons = 17;
@@ -67,11 +68,10 @@
   None,        ///< Not known: the opening was sent to it.
   Handshake,   ///< The caller answered it after an opening that was sent here.
   FirstPacket, ///< The token of the first packet after the opening.
-  LateAnswer,  ///< The token of the late answer of a further server.
-  Token,       ///< The token of a later packet.
+  Token,       ///< Its plain token, which it has returned on the open flow.
 };
 /// Number of elements of ServerEvidence.
-constexpr size_t ServerEvidences = 5;
+constexpr size_t ServerEvidences = 4;
 
 /// Name of \p evidence in lower case with hyphens. Thread-safe.
 const char *serverEvidenceName(ServerEvidence evidence);
--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -5,16 +5,29 @@
 
 namespace balsamrack {
 
+namespace {
+
+/// More than the bytes that a caller sends between two packets which this
+/// daemon gets, and a small part of all sequence numbers.
+constexpr uint32_t SequenceWindow = 1U << 24;
+
+} // namespace
+
 bool TrackedFlow::hasTried(ServerIndex server) const {
   const auto *end = Tried.begin() + Tries;
   return std::find(Tried.begin(), end, server) != end;
 }
 
-uint8_t TrackedFlow::highestCopySeen() const {
-  uint8_t highest = 0;
-  while (CopiesSeen >> (highest + 1) != 0)
-    ++highest;
-  return highest;
+bool TrackedFlow::matches(const PacketHeader &head) const {
+  // The sequence number of a reset may be any.
+  if (head.Resets)
+    return true;
+  if (Stage == FlowStage::Opening) {
+    uint32_t sent = head.Sequence - FirstSequence;
+    return sent > 0 && sent < SequenceWindow;
+  }
+  uint32_t ahead = head.Sequence - LastSequence;
+  return ahead < SequenceWindow || -ahead < SequenceWindow;
 }
 
 uint8_t TrackedFlow::indexOfTried(ServerIndex server) const {
@@ -29,6 +42,7 @@
 }
 
 TrackedFlow *PacketFlowTable::add(TimePoint now, const FlowKey &key) {
+  assert(!find(key));
   // Timers of erased flows remain until they expire, so their number is bounded
   // too.
   if (Flows.size() >= MaxFlows || Timers.size() >= MaxFlows)
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Balsamrack/Core/Time.h"
+#include "Balsamrack/Packets/OpeningCopies.h"
 #include "Balsamrack/Packets/Packet.h"
 #include "Balsamrack/Packets/PacketEvents.h"
 #include "Balsamrack/Packets/RequestTracker.h"
@@ -23,15 +24,12 @@
 
 /// State of a flow, as inferred from its caller's packets.
 enum class FlowStage : uint8_t {
-  Opening, ///< The opening was forwarded; the caller has not answered a server
-           ///< yet.
-  Open,    ///< The caller has answered its server.
+  Opening, ///< The opening was forwarded; it is not known which server the
+           ///< caller has answered, if any.
+  Open,    ///< The flow is open at TrackedFlow::Server.
   Closing, ///< The caller has closed or reset the flow.
 };
 
-/// Bit of copy number \p n of an opening in TrackedFlow::CopiesSeen.
-constexpr uint8_t copyBit(uint8_t n) { return static_cast<uint8_t>(1U << n); }
-
 /// State of one tracked flow.
 struct TrackedFlow {
   /// Maximum number of servers that one opening is sent to. With a tenth of all
@@ -43,27 +41,24 @@
   uint8_t Tries = 0;              ///< Servers that the opening was sent to.
   uint8_t LastTriedOnArrival = 0; ///< Index in Tried of the server that got
                                   ///< the last copy as it arrived here.
-  uint8_t HighestCopy = 0;        ///< Highest copy number of the opening.
-  uint8_t CopiesSeen = 0;         ///< One bit for each copy received here.
   FlowStage Stage = FlowStage::Opening; ///< State of the flow.
-  bool CopiesDelayed =
-      false; ///< Copies of the opening did not arrive at the intervals at which
-             ///< callers send them, so they were delayed.
-  bool MayBeOpenElsewhere = false; ///< Copies of the opening may have reached
-                                   ///< servers through another daemon.
+  bool IsAnswered = false; ///< A packet has shown that the caller has answered
+                           ///< a server.
   bool IsCounted =
       false; ///< A request of the flow counts as in progress at Server.
   bool IsSampled = false; ///< Its request found a free slot and was not
                           ///< retransmitted, so its time is measured.
   bool IsOverdue = false; ///< Its request was recorded as slow.
   float LogQueue = 0;     ///< See SpeedSample::LogQueue.
-  bool IsDifferenceReported = false; ///< A ServerDiffers event was reported.
   ServerEvidence Evidence = ServerEvidence::None; ///< How Server was found.
   ServerIndex Server = NoServerIndex; ///< Destination of its packets.
   uint32_t FirstSequence = 0; ///< Sequence number of the opening; distinguishes
                               ///< a new flow on the same ports from a copy.
                               ///< Zero if the opening is not known.
-  Duration FirstAge{0};       ///< Age of the first copy received here.
+  uint32_t LastSequence = 0;  ///< Highest sequence number of an open flow.
+  OpeningCopies Copies;       ///< Copies of the opening that arrived here.
+  TimePoint UnansweredAt;     ///< The caller is known to have had no answer at
+                              ///< this time; the epoch if not known.
   TimePoint OpenedAt;         ///< Time of the first copy, or of the adoption.
   TimePoint LastSeen;         ///< Time of the last packet.
   TimePoint LastSent;      ///< When a copy of the opening was last forwarded.
@@ -72,8 +67,9 @@
 
   /// True when the opening was sent to \p server.
   bool hasTried(ServerIndex server) const;
-  /// Highest copy number of the opening that was received here; zero for none.
-  uint8_t highestCopySeen() const;
+  /// True when \p head can belong to this flow, by its sequence number. A
+  /// caller that uses its port again starts from another, random number.
+  bool matches(const PacketHeader &head) const;
   /// Index of \p server in Tried. Precondition: hasTried(\p server).
   uint8_t indexOfTried(ServerIndex server) const;
 };
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -1,6 +1,7 @@
 #include "Balsamrack/Packets/PacketRouter.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "Balsamrack/Decisions/SlotShares.h"
@@ -62,7 +63,9 @@
 }
 
 void PacketRouter::place(TimePoint now, const PacketHeader &head,
-                         const uint8_t *bytes, size_t n, PacketSink &out) {
+                         const uint8_t *bytes, size_t n,
+                         const OpeningCopies &copies, PacketSink &out) {
+  assert(!Flows.find(head.Flow));
   const ServiceId *service = serviceFor(head.Flow);
   if (!service) {
     refuse(head, PacketReason::NoRoute, out);
@@ -70,8 +73,9 @@
   }
   // Refuse at once when all servers of the service are unreachable, so that the
   // caller can retry or go elsewhere instead of waiting until its timeout. Do
-  // not refuse later copies: the flow may be open through another daemon.
-  if (head.CopyNumber == 0 && isServiceUnreachable(*service)) {
+  // not refuse an opening of which other daemons have copies: the flow may be
+  // open through them.
+  if (copies.areAllHere(now) && isServiceUnreachable(*service)) {
     updateReachability(now);
     if (isLeavingRotation(now))
       out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Unreachable,
@@ -99,9 +103,9 @@
     flow = &spare;
   flow->OpenedAt = now;
   flow->FirstSequence = head.Sequence;
-  flow->FirstAge = head.Age;
-  flow->CopiesSeen = copyBit(head.CopyNumber);
-  flow->MayBeOpenElsewhere = mayBeOpenElsewhere(now, head);
+  flow->Copies = copies;
+  // No server has the opening yet if no other daemon has it.
+  flow->UnansweredAt = copies.areAllHere(now) ? now : copies.unansweredAt();
   sendOpening(now, *flow, static_cast<ServerIndex>(to->Server),
               OpeningCause::Arrival, head, bytes, n, out);
   // A flow that does not fit in the table is not counted, since its count would
@@ -226,7 +230,7 @@
       makeEvent(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
                 copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
   event.Tries = flow.Tries;
-  event.Copy = flow.highestCopySeen();
+  event.Copy = flow.Copies.highest();
   out.report(event);
   UnansweredOpening waiting;
   waiting.Due = now + Timeout.value();
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -9,13 +9,6 @@
 namespace {
 
 constexpr TimePoint Never = TimePoint(Duration::max());
-/// Callers send an opening and two copies of it; one bit for each.
-constexpr uint8_t AllCopies = 0b111;
-/// Tolerated deviation of the arrival of copies, due to delays in the network
-/// and in this process. Callers send the copies 200 and 400 ms apart.
-constexpr Duration CopyJitter{100'000};
-/// A further try that is later than this may come after a copy of the opening.
-constexpr Duration MaxRetryDelay{150'000};
 /// By this time the caller has retransmitted the data again, which adds a new
 /// record.
 constexpr Duration RetransmittedRetention{1'000'000};
@@ -65,7 +58,7 @@
                                 PacketSink &out) {
   recordCall(now);
   if (!Routes && head.Opens &&
-      bufferOpening(now, head, bytes, n, Settings.RefreshWait))
+      bufferOpening(now, head, bytes, n, recordCopy(now, head)))
     return;
   if (!Routes) {
     out.report(makeEvent(PacketEventKind::Dropped, PacketReason::NotReady,
@@ -83,7 +76,8 @@
                                  PacketSink &out) {
   // The caller has sent the next copy since, which may have opened the flow
   // through another daemon.
-  if (head.NextCopyAfter > Duration{0} && head.Waited >= head.NextCopyAfter) {
+  if (head.NextCopyAfter > Duration{0} && head.Waited &&
+      *head.Waited >= head.NextCopyAfter) {
     out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Stale,
                          head.Flow, NoServerIndex));
     return;
@@ -102,31 +96,53 @@
     uncountRequest(*flow);
     Flows.erase(head.Flow);
   }
+  OpeningCopies copies = recordCopy(now, head);
   // The original SYN stands for all copies, which may reach other daemons.
   if (head.CopyNumber == 0 && !Demands.empty())
     recordDemand(serviceFor(head.Flow));
   if (Stale || isAwaitingServers(head)) {
-    if (!bufferOpening(now, head, bytes, n, Settings.RefreshWait))
+    if (!bufferOpening(now, head, bytes, n, copies))
       out.report(makeEvent(PacketEventKind::Dropped,
                            Stale ? PacketReason::Stale : PacketReason::NotReady,
                            head.Flow, NoServerIndex));
     return;
   }
-  if (admit(now, head, bytes, n, out) || queueLateOpening(now, head, bytes, n))
+  if (admit(now, head, bytes, n, copies, out) ||
+      queueLateOpening(now, head, bytes, n, copies))
     return;
-  place(now, head, bytes, n, out);
+  place(now, head, bytes, n, copies, out);
 }
 
-bool PacketRouter::isTrackedOpening(const PacketHeader &head) {
-  const TrackedFlow *flow = Flows.find(head.Flow);
-  return flow && flow->FirstSequence == head.Sequence;
+OpeningCopies PacketRouter::recordCopy(TimePoint now,
+                                       const PacketHeader &head) {
+  OpeningCopies copies;
+  for (OpeningQueue *queue : {&Buffered, &Late}) {
+    auto item = queue->take(head.Flow);
+    if (item && item->Opening.Head.Sequence == head.Sequence)
+      copies = item->Copies;
+  }
+  copies.add(now, head, mayHaveWaited());
+  return copies;
+}
+
+void PacketRouter::removeWaitingOpening(const FlowKey &flow) {
+  Buffered.take(flow);
+  Late.take(flow);
+  if (Held.empty())
+    return;
+  if (HeldOpening *held = Held.find(flow)) {
+    Admissions.at(held->Service).remove(held->Id);
+    Held.take(held->Id);
+  }
 }
 
 bool PacketRouter::bufferOpening(TimePoint now, const PacketHeader &head,
                                  const uint8_t *bytes, size_t n,
-                                 Duration most) {
-  BufferedOpening opening;
-  return opening.assign(head, bytes, n) && Buffered.push(opening, now + most);
+                                 const OpeningCopies &copies) {
+  OpeningQueue::Item item;
+  item.Copies = copies;
+  item.Deadline = now + Settings.RefreshWait;
+  return item.Opening.assign(head, bytes, n) && Buffered.push(item);
 }
 
 bool PacketRouter::isAwaitingServers(const PacketHeader &head) {
@@ -144,16 +160,16 @@
   for (; due > 0; --due) {
     OpeningQueue::Item item = Buffered.pop();
     const BufferedOpening &opening = item.Opening;
-    // Another copy of it was forwarded already.
-    if (isTrackedOpening(opening.Head))
-      continue;
-    if (isAwaitingServers(opening.Head)) {
-      Buffered.push(opening, item.Deadline);
+    // The caller has sent another copy meanwhile, or may have, which comes here
+    // or has opened the flow through another daemon.
+    bool isOutdated =
+        !item.Copies.areAllHere(now) && !item.Copies.isNewest(now);
+    if (isOutdated || isAwaitingServers(opening.Head)) {
+      Buffered.push(item);
       continue;
     }
-    bool wasDelayed = std::exchange(Delayed, true);
-    place(now, opening.Head, opening.Packet.data(), opening.Bytes, out);
-    Delayed = wasDelayed;
+    place(now, opening.Head, opening.Packet.data(), opening.Bytes, item.Copies,
+          out);
   }
   // Drops openings that waited too long; their callers retransmit them.
   while (!Buffered.empty() && now >= Buffered.front().Deadline)
@@ -164,19 +180,15 @@
                                      const PacketHeader &head,
                                      const uint8_t *bytes, size_t n,
                                      PacketSink &out) {
-  flow.LastSeen = now;
-  flow.HighestCopy = std::max(flow.HighestCopy, head.CopyNumber);
-  flow.CopiesSeen |= copyBit(head.CopyNumber);
-  Duration late = (now - flow.OpenedAt) - (head.Age - flow.FirstAge);
-  if (late < -CopyJitter || late > CopyJitter)
-    flow.CopiesDelayed = true;
-  bool hasGap = flow.CopiesSeen != copyBit(head.CopyNumber + 1) - 1;
-  if (flow.CopiesDelayed || hasGap)
-    flow.MayBeOpenElsewhere = true;
-  if (flow.Stage != FlowStage::Opening) {
-    forward(flow.Server, Servers.at(flow.Server).Backend.Token, bytes, n, out);
+  flow.Copies.add(now, head, mayHaveWaited());
+  flow.UnansweredAt = std::max(flow.UnansweredAt, flow.Copies.unansweredAt());
+  // A copy of an opening that the caller has answered was delayed.
+  if (flow.Stage != FlowStage::Opening || flow.IsAnswered) {
+    out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Copy,
+                         head.Flow, flow.Server));
     return;
   }
+  flow.LastSeen = now;
   bool overdue = now - flow.LastSent >= Timeout.value();
   if (overdue && flow.Tries == TrackedFlow::MaxTries) {
     // All tries have timed out. Start another round that excludes only the last
@@ -195,46 +207,75 @@
 void PacketRouter::handleFlowPacket(TimePoint now, const PacketHeader &head,
                                     const uint8_t *bytes, size_t n,
                                     PacketSink &out) {
+  // The caller has answered a server; its opening must not reach another one.
+  removeWaitingOpening(head.Flow);
   TrackedFlow spare;
   TrackedFlow *flow = Flows.find(head.Flow);
-  if (flow && flow->Stage == FlowStage::Opening && !head.Resets &&
-      !confirm(now, *flow, head, out)) {
-    // The flow is open through another daemon; stop offering it to servers.
+  if (flow && !flow->matches(head)) {
     uncountRequest(*flow);
     Flows.erase(head.Flow);
     flow = nullptr;
   }
-  if (!flow)
-    flow = adopt(now, head, spare, out);
-  if (!flow)
+  if (flow && flow->Stage == FlowStage::Opening && !head.Resets) {
+    if (!confirm(now, *flow, head, out)) {
+      // If it has overtaken the first packet, that one follows at once.
+      bool isFirst = head.Sequence == flow->FirstSequence + 1;
+      if (isFirst || !Overtaking.add(now, head, bytes, n))
+        reportUndecided(head, out);
+      return;
+    }
+    forwardOnFlow(now, *flow, true, head, bytes, n, out);
+    for (const OvertakingPackets::Item &it : Overtaking.take(head.Flow))
+      forwardOnFlow(now, *flow, true, it.Head, it.Bytes.data(), it.Bytes.size(),
+                    out);
     return;
-  flow->LastSeen = now;
-  compareServers(*flow, head, out);
-  if (flow->Stage == FlowStage::Open && flow != &spare)
-    trackRequests(now, *flow, head);
-  if (isRequestLost(*flow, head)) {
-    resetFlow(*flow, head, out);
+  }
+  if (flow)
+    followToken(now, *flow, head, out);
+  else
+    flow = adopt(now, head, spare, out);
+  if (flow)
+    forwardOnFlow(now, *flow, flow != &spare, head, bytes, n, out);
+}
+
+void PacketRouter::reportUndecided(const PacketHeader &head,
+                                   PacketSink &out) const {
+  out.report(makeEvent(PacketEventKind::Dropped, PacketReason::Undecided,
+                       head.Flow, NoServerIndex));
+}
+
+void PacketRouter::forwardOnFlow(TimePoint now, TrackedFlow &flow,
+                                 bool isTracked, const PacketHeader &head,
+                                 const uint8_t *bytes, size_t n,
+                                 PacketSink &out) {
+  flow.LastSeen = now;
+  if (static_cast<int32_t>(head.Sequence - flow.LastSequence) > 0)
+    flow.LastSequence = head.Sequence;
+  if (flow.Stage == FlowStage::Open && isTracked)
+    trackRequests(now, flow, head);
+  if (isRequestLost(flow, head)) {
+    resetFlow(flow, head, out);
     return;
   }
   bool ends = head.Ends || head.Resets;
-  if (ends && flow->Stage != FlowStage::Closing) {
-    uncountRequest(*flow);
-    flow->Stage = FlowStage::Closing;
+  if (ends && flow.Stage != FlowStage::Closing) {
+    uncountRequest(flow);
+    flow.Stage = FlowStage::Closing;
     PacketEvent event = makeEvent(head.Resets ? PacketEventKind::Abandoned
                                               : PacketEventKind::Ended,
-                                  PacketReason::None, head.Flow, flow->Server);
-    event.Took = now - flow->OpenedAt;
-    event.Evidence = flow->Evidence;
+                                  PacketReason::None, head.Flow, flow.Server);
+    event.Took = now - flow.OpenedAt;
+    event.Evidence = flow.Evidence;
     out.report(event);
   }
-  forward(flow->Server, Servers.at(flow->Server).Backend.Token, bytes, n, out);
+  forward(flow.Server, Servers.at(flow.Server).Backend.Token, bytes, n, out);
 }
 
 void PacketRouter::trackRequests(TimePoint now, TrackedFlow &flow,
                                  const PacketHeader &head) {
   // The first request of a flow that was opened here counted as its opening.
   bool isCountedAsOpening =
-      flow.CopiesSeen != 0 && flow.Requests.requestStartedAt() == TimePoint{};
+      !flow.Copies.empty() && flow.Requests.requestStartedAt() == TimePoint{};
   RequestProgress step = flow.Requests.handlePacket(now, head);
   if (step.Data == RequestDataKind::NewRequest && !isCountedAsOpening)
     recordDemand(&Servers.at(flow.Server).Backend.Published->Server.Service);
@@ -263,22 +304,24 @@
 
 bool PacketRouter::confirm(TimePoint now, TrackedFlow &flow,
                            const PacketHeader &head, PacketSink &out) {
-  // The flow is open at the server that the caller answers. The answer of a
-  // second server may change the token later, so the server is stored from now
-  // on.
-  ServerIndex home = answeredServer(now, flow, head);
-  if (home == NoServerIndex)
+  // Further servers would answer a caller that ignores them.
+  flow.IsAnswered = true;
+  TokenMatch home = answeredServer(now, flow, head);
+  if (home.Server == NoServerIndex) {
+    uncountRequest(flow);
     return false;
-  countRequest(now, flow, home);
+  }
+  countRequest(now, flow, home.Server);
   flow.Stage = FlowStage::Open;
-  if (flow.Tries == 1 && flow.HighestCopy == 0)
+  flow.LastSequence = head.Sequence;
+  if (flow.Tries == 1 && flow.Copies.count() == 1)
     Timeout.addSample(now - flow.LastSent);
-  flow.Evidence = ServerEvidence::Handshake;
+  flow.Evidence = home.Evidence;
   PacketEvent event = makeEvent(PacketEventKind::Confirmed, PacketReason::None,
                                 head.Flow, flow.Server);
   event.Took = now - flow.OpenedAt;
   event.Tries = flow.Tries;
-  event.Copy = flow.highestCopySeen();
+  event.Copy = flow.Copies.highest();
   event.Evidence = flow.Evidence;
   out.report(event);
   recordReached(flow.Server);
@@ -310,6 +353,8 @@
   processDueOpenings(now, Unanswered, out);
   processDueOpenings(now, LastCopies, out);
   processSpeeds(now, out);
+  for (const OvertakingPackets::Item &it : Overtaking.takeExpired(now))
+    reportUndecided(it.Head, out);
   placeBufferedOpenings(now, out);
   placeLateOpenings(now, out);
   serveHeldOpenings(now, out);
@@ -350,7 +395,7 @@
   const TrackedFlow *flow = Flows.find(waiting.Opening.Head.Flow);
   // Otherwise it was answered, closed, or sent again, and a later element
   // covers it.
-  return flow && flow->Stage == FlowStage::Opening &&
+  return flow && flow->Stage == FlowStage::Opening && !flow->IsAnswered &&
          flow->LastSent == waiting.SentAt;
 }
 
@@ -363,13 +408,10 @@
   // After this process was suspended, packets that waited in its socket were
   // retransmitted through another daemon and answered there. A missing answer
   // to them does not make a server silent.
-  if (!flow->CopiesDelayed &&
+  if (!flow->Copies.wereDelayed() &&
       Detector.reportUnanswered(now, server, waiting.SentAt, caller))
     reportSilentServer(server, waiting.Opening.Head.Flow, out);
   const BufferedOpening &opening = waiting.Opening;
-  // The caller has sent a copy meanwhile.
-  if (now - waiting.Due >= MaxRetryDelay)
-    flow->MayBeOpenElsewhere = true;
   bool sent =
       opening.Bytes > 0 &&
       sendToAnotherServer(now, *flow, OpeningCause::Timeout, opening.Head,
@@ -383,7 +425,7 @@
   // lets the caller retry at once. Reset only if all copies arrived here on
   // time. Otherwise the flow may be open through another daemon, and the reset
   // would break it.
-  if (flow->CopiesSeen != AllCopies || flow->CopiesDelayed)
+  if (!flow->Copies.isComplete() || flow->Copies.wereDelayed())
     return;
   // Also leave the caller time to retransmit its first packet to a server.
   if (now - flow->LastSeen < Settings.LastCopyTimeout) {
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -20,6 +20,7 @@
 #include "Balsamrack/Packets/LoadSettings.h"
 #include "Balsamrack/Packets/OpeningQueue.h"
 #include "Balsamrack/Packets/OpeningTimeout.h"
+#include "Balsamrack/Packets/OvertakingPackets.h"
 #include "Balsamrack/Packets/PacketFlowTable.h"
 #include "Balsamrack/Packets/PacketRoutes.h"
 #include "Balsamrack/Packets/PacketSink.h"
@@ -94,6 +95,13 @@
 /// byte, to another server after a few tens of milliseconds. The flow is open
 /// at the server that the caller answers, so no request can run twice. The
 /// token on an opening differs from that of its server; see OpeningTokens.h.
+///
+/// A packet of a flow is forwarded only to a server that is known to have the
+/// flow. A plain token proves it, and replaces what this daemon tracks. So does
+/// a handshake of which this daemon got all copies and that it offered to one
+/// server only. The tokens of openings prove it on the first packet. In all
+/// other cases the packet is dropped, since another server would reset the
+/// flow.
 class PacketRouter {
 public:
   /// Precondition: \p random outlives the router.
@@ -200,8 +208,8 @@
   /// The server that a token identifies.
   struct TokenMatch {
     ServerIndex Server = NoServerIndex; ///< The server; none if not found.
-    PacketReason Reason = PacketReason::None; ///< How it was found, or why not.
-    uint8_t Attempt = 0; ///< SecondAnswer: see referringToken().
+    PacketReason Reason = PacketReason::None;       ///< Why it was not found.
+    ServerEvidence Evidence = ServerEvidence::None; ///< How it was found.
   };
 
   /// A request that its caller retransmitted because the server has not
@@ -213,10 +221,12 @@
 
   void handleOpening(TimePoint now, const PacketHeader &head,
                      const uint8_t *bytes, size_t n, PacketSink &out);
+  OpeningCopies recordCopy(TimePoint now, const PacketHeader &head);
   bool bufferOpening(TimePoint now, const PacketHeader &head,
-                     const uint8_t *bytes, size_t n, Duration most);
+                     const uint8_t *bytes, size_t n,
+                     const OpeningCopies &copies);
   bool admit(TimePoint now, const PacketHeader &head, const uint8_t *bytes,
-             size_t n, PacketSink &out);
+             size_t n, const OpeningCopies &copies, PacketSink &out);
   OpeningRequest admissionRequest(const PacketHeader &head,
                                   TimePoint arrivedAt) const;
   OpeningAdmission *admissionFor(TimePoint now, const ServiceId &service);
@@ -238,16 +248,17 @@
                      PacketSink &out);
   TimePoint nextHeldWakeup() const;
   bool queueLateOpening(TimePoint now, const PacketHeader &head,
-                        const uint8_t *bytes, size_t n);
+                        const uint8_t *bytes, size_t n,
+                        const OpeningCopies &copies);
   bool areSlotsTakenFor(TimePoint now, const PacketHeader &head);
-  bool mayBeOpenElsewhere(TimePoint now, const PacketHeader &head) const;
+  bool mayHaveWaited() const;
   bool isLateCopy(TimePoint now, const TrackedFlow &flow,
                   const PacketHeader &head) const;
-  bool isTrackedOpening(const PacketHeader &head);
+  void removeWaitingOpening(const FlowKey &flow);
   bool isAwaitingServers(const PacketHeader &head);
   void placeLateOpenings(TimePoint now, PacketSink &out);
   void place(TimePoint now, const PacketHeader &head, const uint8_t *bytes,
-             size_t n, PacketSink &out);
+             size_t n, const OpeningCopies &copies, PacketSink &out);
   void placeBufferedOpenings(TimePoint now, PacketSink &out);
   void handleOpeningCopy(TimePoint now, TrackedFlow &flow,
                          const PacketHeader &head, const uint8_t *bytes,
@@ -255,6 +266,10 @@
   void handleFlowPacket(TimePoint now, const PacketHeader &head,
                         const uint8_t *bytes, size_t n, PacketSink &out);
 
+  void forwardOnFlow(TimePoint now, TrackedFlow &flow, bool isTracked,
+                     const PacketHeader &head, const uint8_t *bytes, size_t n,
+                     PacketSink &out);
+  void reportUndecided(const PacketHeader &head, PacketSink &out) const;
   bool isRequestLost(const TrackedFlow &flow, const PacketHeader &head) const;
   void resetFlow(TrackedFlow &flow, const PacketHeader &head, PacketSink &out);
   void resetLostRequests(PacketSink &out);
@@ -286,10 +301,12 @@
   bool hasTriedDomain(const TrackedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
   TokenMatch resolveToken(const PacketHeader &head) const;
+  std::optional<uint8_t> attemptOfToken(const TrackedFlow &flow,
+                                        const PacketHeader &head) const;
   PacketReason findAllowed(uint32_t token, const RouteEntry &route,
                            ServerIndex &found) const;
-  ServerIndex answeredServer(TimePoint now, const TrackedFlow &flow,
-                             const PacketHeader &head) const;
+  TokenMatch answeredServer(TimePoint now, const TrackedFlow &flow,
+                            const PacketHeader &head) const;
   uint32_t openingToken(const TrackedFlow &flow, const PacketHeader &head,
                         ServerIndex to, OpeningCause cause) const;
   bool isServiceUnreachable(const ServiceId &service);
@@ -304,8 +321,8 @@
   void refuse(const PacketHeader &head, PacketReason why, PacketSink &out);
   void trackRequests(TimePoint now, TrackedFlow &flow,
                      const PacketHeader &head);
-  void compareServers(TrackedFlow &flow, const PacketHeader &head,
-                      PacketSink &out);
+  void followToken(TimePoint now, TrackedFlow &flow, const PacketHeader &head,
+                   PacketSink &out);
   void countRequest(TimePoint now, TrackedFlow &flow, ServerIndex at);
   void uncountRequest(TrackedFlow &flow);
   void reportRecovery(ServerIndex server, bool wasSilent, bool domainWasSilent,
@@ -357,6 +374,7 @@
   OpeningQueue Late;        ///< Late openings waiting for a free slot.
   absl::flat_hash_map<ServiceId, OpeningAdmission> Admissions;
   HeldOpenings Held;            ///< Openings that wait in Admissions.
+  OvertakingPackets Overtaking; ///< Packets that wait for a flow's first one.
   uint64_t LastHeldId = 0;      ///< Last OpeningRequest::Id.
   bool AreHeldOutdated = false; ///< The routes have changed since.
   bool Releasing = false;       ///< See releaseOpenings().
--- a/Balsamrack/Packets/PacketTokens.cpp
+++ b/Balsamrack/Packets/PacketTokens.cpp
@@ -12,39 +12,48 @@
 
 /// More than the time between two calls while nothing happens.
 constexpr Duration MaxIdleInterval{300'000};
-/// Time from an opening to the end of the caller's first packets.
-constexpr Duration FirstFlightTime{100'000};
+/// Callers retransmit a packet after 200 ms at the earliest, unless the server
+/// has acknowledged others.
+constexpr Duration MinRetransmissionTime{180'000};
 
 } // namespace
 
-bool PacketRouter::mayBeOpenElsewhere(TimePoint now,
-                                      const PacketHeader &head) const {
-  // The first copy may have waited in the socket, at most since the call
-  // before, until the caller sent the next one.
-  bool hasWaited =
-      CalledBefore != TimePoint{} && now - CalledBefore > MaxIdleInterval;
-  return Delayed || hasWaited || !MayReset || head.CopyNumber > 0;
+bool PacketRouter::mayHaveWaited() const {
+  // A packet may have waited in the socket since the call before.
+  return Delayed || (CalledBefore != TimePoint{} &&
+                     CalledAt - CalledBefore > MaxIdleInterval);
 }
 
 bool PacketRouter::isLateCopy(TimePoint now, const TrackedFlow &flow,
                               const PacketHeader &head) const {
-  bool isAdopted = flow.Stage == FlowStage::Open && flow.CopiesSeen == 0;
-  return isAdopted && head.CopyNumber > 0 &&
-         now - flow.OpenedAt < Settings.OpeningRetention;
+  if (flow.Stage == FlowStage::Opening || !flow.Copies.empty() ||
+      now - flow.OpenedAt >= Settings.OpeningRetention)
+    return false;
+  PacketHeader first = head;
+  ++first.Sequence;
+  return flow.matches(first);
 }
 
 uint32_t PacketRouter::openingToken(const TrackedFlow &flow,
                                     const PacketHeader &head, ServerIndex to,
                                     OpeningCause cause) const {
-  // If the flow is open through another daemon, it is at the earlier server,
-  // unless that is dead or another daemon has sent copies to servers.
-  ServerIndex earlier = flow.Tried[flow.LastTriedOnArrival];
-  if (cause == OpeningCause::Timeout && !flow.MayBeOpenElsewhere &&
-      !Detector.isUnreachable(earlier))
-    return referringToken(Servers.at(earlier).Backend.Token, head.Flow,
-                          flow.Tries);
-  return firstPacketToken(Servers.at(to).Backend.Token, head.Flow,
-                          head.Sequence);
+  // The caller may have answered the earlier server through another daemon,
+  // unless that server is dead.
+  uint32_t server = Servers.at(to).Backend.Token;
+  if (cause == OpeningCause::Timeout &&
+      !Detector.isUnreachable(flow.Tried[flow.LastTriedOnArrival]))
+    return furtherTryToken(server, head.Flow, flow.Tries);
+  return firstPacketToken(server, head.Flow, head.Sequence);
+}
+
+std::optional<uint8_t>
+PacketRouter::attemptOfToken(const TrackedFlow &flow,
+                             const PacketHeader &head) const {
+  for (uint8_t i = 1; i < flow.Tries; ++i)
+    if (furtherTryToken(Servers.at(flow.Tried[i]).Backend.Token, head.Flow,
+                        i) == head.Token)
+      return i;
+  return std::nullopt;
 }
 
 PacketReason PacketRouter::findAllowed(uint32_t token, const RouteEntry &route,
@@ -74,22 +83,14 @@
     match.Reason = PacketReason::NoRoute;
   else
     match.Reason = findAllowed(head.Token, route->second, match.Server);
+  if (match.Reason == PacketReason::None)
+    match.Evidence = ServerEvidence::Token;
   if (match.Reason != PacketReason::UnknownToken)
     return match;
   // The token may have been written on the opening.
   uint32_t token = serverOfFirstPacket(head.Token, head.Flow, head.Sequence);
-  if (findAllowed(token, route->second, match.Server) == PacketReason::None) {
-    match.Reason = PacketReason::FirstPacket;
-    return match;
-  }
-  for (uint8_t i = 1; i < TrackedFlow::MaxTries; ++i) {
-    token = referringToken(head.Token, head.Flow, i);
-    if (findAllowed(token, route->second, match.Server) != PacketReason::None)
-      continue;
-    match.Reason = PacketReason::SecondAnswer;
-    match.Attempt = i;
-    return match;
-  }
+  if (findAllowed(token, route->second, match.Server) == PacketReason::None)
+    match = {match.Server, PacketReason::None, ServerEvidence::FirstPacket};
   return match;
 }
 
@@ -109,27 +110,25 @@
     flow = &spare;
   flow->Stage = FlowStage::Open;
   flow->Server = match.Server;
+  flow->Evidence = match.Evidence;
   flow->OpenedAt = now;
+  flow->LastSequence = head.Sequence;
   // Recognizes a late copy of the opening.
-  if (match.Reason == PacketReason::FirstPacket)
+  if (match.Evidence == ServerEvidence::FirstPacket)
     flow->FirstSequence = head.Sequence - 1;
-  if (match.Reason == PacketReason::FirstPacket)
-    flow->Evidence = ServerEvidence::FirstPacket;
-  else if (match.Reason == PacketReason::SecondAnswer)
-    flow->Evidence = ServerEvidence::LateAnswer;
-  else
-    flow->Evidence = ServerEvidence::Token;
-  PacketEvent event = makeEvent(PacketEventKind::Adopted, match.Reason,
-                                head.Flow, match.Server);
+  PacketReason why = match.Evidence == ServerEvidence::FirstPacket
+                         ? PacketReason::FirstPacket
+                         : PacketReason::None;
+  PacketEvent event =
+      makeEvent(PacketEventKind::Adopted, why, head.Flow, match.Server);
   event.Evidence = flow->Evidence;
   out.report(event);
   return flow;
 }
 
-void PacketRouter::compareServers(TrackedFlow &flow, const PacketHeader &head,
-                                  PacketSink &out) {
-  if (head.Token == Servers.at(flow.Server).Backend.Token ||
-      flow.IsDifferenceReported)
+void PacketRouter::followToken(TimePoint now, TrackedFlow &flow,
+                               const PacketHeader &head, PacketSink &out) {
+  if (head.Token == Servers.at(flow.Server).Backend.Token)
     return;
   auto route = Routes->Routes.find(head.Flow.Service);
   ServerIndex named = NoServerIndex;
@@ -137,32 +136,47 @@
       findAllowed(head.Token, route->second, named) != PacketReason::None ||
       named == flow.Server)
     return;
-  flow.IsDifferenceReported = true;
   PacketEvent event = makeEvent(PacketEventKind::ServerDiffers,
                                 PacketReason::None, head.Flow, flow.Server);
   event.TokenServer = &Servers.at(named).Backend.Published->Server.Id;
   event.Evidence = flow.Evidence;
   out.report(event);
+  if (flow.IsCounted)
+    countRequest(now, flow, named);
+  flow.Server = named;
+  flow.Evidence = ServerEvidence::Token;
 }
 
-ServerIndex PacketRouter::answeredServer(TimePoint now, const TrackedFlow &flow,
-                                         const PacketHeader &head) const {
-  // Packets may overtake the first one, while the fabric does not move a flow
-  // back and forth in so short a time.
-  uint32_t first = flow.FirstSequence + 1;
-  bool isFirst =
-      head.Sequence == first || now - flow.LastSent < FirstFlightTime;
-  PacketHeader answer = head;
-  if (isFirst)
-    answer.Sequence = first;
-  TokenMatch match = resolveToken(answer);
-  if (match.Server == NoServerIndex)
-    return isFirst ? flow.Server : NoServerIndex;
-  // The caller answers the further server, unless it has answered the earlier
-  // one before.
-  bool isAttempt = match.Reason == PacketReason::SecondAnswer && isFirst &&
-                   match.Attempt < flow.Tries && flow.hasTried(match.Server);
-  return isAttempt ? flow.Tried[match.Attempt] : match.Server;
+PacketRouter::TokenMatch
+PacketRouter::answeredServer(TimePoint now, const TrackedFlow &flow,
+                             const PacketHeader &head) const {
+  TokenMatch match = resolveToken(head);
+  if (match.Evidence == ServerEvidence::Token)
+    return match;
+  if (flow.Tries == 1 && flow.Copies.areAllHere(now))
+    return {flow.Server, PacketReason::None, ServerEvidence::Handshake};
+  bool isFirst = head.Sequence == flow.FirstSequence + 1;
+  if (isFirst && match.Server != NoServerIndex)
+    return match;
+  TokenMatch undecided{NoServerIndex, PacketReason::Undecided,
+                       ServerEvidence::None};
+  auto attempt = attemptOfToken(flow, head);
+  if (!attempt)
+    return undecided;
+  // Unless it is a retransmission, the first packet has the token of the server
+  // that the caller has answered.
+  bool isRecent = now - flow.UnansweredAt < MinRetransmissionTime;
+  if (isFirst && isRecent)
+    return {flow.Tried[*attempt], PacketReason::None,
+            ServerEvidence::Handshake};
+  // Only this daemon recognizes the tokens of further tries, so if the flow is
+  // open it was opened through another daemon, at the server of the first try.
+  bool isOriginalOnly = flow.Copies.count() == 1 &&
+                        flow.Copies.highest() == 0 &&
+                        !flow.Copies.wereDelayed();
+  if (!isRecent && isOriginalOnly)
+    return {flow.Tried[0], PacketReason::None, ServerEvidence::FirstPacket};
+  return undecided;
 }
 
 } // namespace balsamrack
