--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -20,6 +20,12 @@
 /// Batches received before timers are processed.
 constexpr int MaxBatchesPerIteration = 8;
 
+PacketRouterSettings withSalt(PacketRouterSettings settings, uint64_t seed) {
+  constexpr uint64_t Use = 1;
+  settings.TokenSalt = static_cast<uint32_t>(combineHash(seed, Use));
+  return settings;
+}
+
 const char *modeName(const RoutedBackend &server) {
   if (server.Presence == ServerPresence::Gone)
     return "gone";
@@ -43,7 +49,7 @@
     : Codec(codec), Socket(std::move(socket)), Time(clock),
       TelemetrySink(telemetry), OnPaused(std::move(onPause)),
       WakeEvent(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), Random(seed),
-      Router(settings, Random), Thread([this] { run(); }) {}
+      Router(withSalt(settings, seed), Random), Thread([this] { run(); }) {}
 
 PacketForwarder::~PacketForwarder() {
   stop();
@@ -260,6 +266,13 @@
 }
 
 void PacketForwarder::run() {
+  {
+    // A suspension right after the start counts from here.
+    std::lock_guard<std::mutex> hold(Lock);
+    TimePoint now = Time.now();
+    detectPause(now);
+    Router.tick(now, *this);
+  }
   while (!Stopping) {
     wait();
     TimePoint now = Time.now();
--- a/Balsamrack/Packets/OpeningCopies.cpp
+++ b/Balsamrack/Packets/OpeningCopies.cpp
@@ -20,13 +20,16 @@
   assert(head.Opens && head.CopyNumber <= LastCopy);
   mayHaveWaited = mayHaveWaited && !head.Waited;
   TimePoint arrivedAt = now - head.Waited.value_or(Duration{0});
-  if (empty()) {
-    FirstAt = arrivedAt;
-    FirstAge = head.Age;
+  bool isPunctual = !mayHaveWaited;
+  if (isPunctual && HasReference) {
+    // Copies that arrive together have waited somewhere.
+    Duration late = (arrivedAt - ReferenceAt) - (head.Age - ReferenceAge);
+    isPunctual = late >= -CopyJitter && late <= CopyJitter;
+  } else if (isPunctual) {
+    HasReference = true;
+    ReferenceAt = arrivedAt;
+    ReferenceAge = head.Age;
   }
-  // Copies that arrive together have waited somewhere.
-  Duration late = (arrivedAt - FirstAt) - (head.Age - FirstAge);
-  bool isPunctual = !mayHaveWaited && late >= -CopyJitter && late <= CopyJitter;
   if (!isPunctual)
     Delayed = true;
   bool isHighest = empty() || head.CopyNumber >= highest();
@@ -36,7 +39,9 @@
   NextDue = TimePoint{};
   if (!isPunctual)
     return;
-  NextDue = arrivedAt + head.NextCopyAfter - MaxTransitTime;
+  NextDue = head.NextCopyAfter == Duration{0}
+                ? TimePoint::max()
+                : arrivedAt + head.NextCopyAfter - MaxTransitTime;
   UnansweredAt = arrivedAt - MaxTransitTime;
 }
 
--- a/Balsamrack/Packets/OpeningCopies.h
+++ b/Balsamrack/Packets/OpeningCopies.h
@@ -53,10 +53,11 @@
   static constexpr uint8_t bit(int n) { return static_cast<uint8_t>(1U << n); }
   static constexpr uint8_t AllCopies = 0b111;
 
-  uint8_t Seen = 0;       ///< One bit for each copy.
-  bool Delayed = false;   ///< See wereDelayed().
-  Duration FirstAge{0};   ///< Age of the first copy that arrived.
-  TimePoint FirstAt;      ///< When the first copy arrived.
+  uint8_t Seen = 0;          ///< One bit for each copy.
+  bool Delayed = false;      ///< See wereDelayed().
+  bool HasReference = false; ///< A copy has arrived that did not wait.
+  Duration ReferenceAge{0};  ///< Age of the first such copy.
+  TimePoint ReferenceAt;     ///< When it arrived.
   TimePoint NextDue;      ///< When the caller may send the next copy; the epoch
                           ///< if not known.
   TimePoint UnansweredAt; ///< See unansweredAt().
--- a/Balsamrack/Packets/OpeningTokens.cpp
+++ b/Balsamrack/Packets/OpeningTokens.cpp
@@ -30,7 +30,7 @@
 }
 
 uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
-                         uint8_t attempt) {
+                         uint32_t attempt) {
   return serverToken ^ mask(MaskKind::FurtherTry, flow, attempt);
 }
 
--- a/Balsamrack/Packets/OpeningTokens.h
+++ b/Balsamrack/Packets/OpeningTokens.h
@@ -39,9 +39,9 @@
 /// that has sent it finds the server again: either the caller answers that
 /// server, or an earlier one through another daemon, and the caller's packets
 /// are the same in both cases. \p attempt is the number of servers tried
-/// before. Pure, thread-safe.
+/// before, plus a number of its own for each daemon. Pure, thread-safe.
 uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
-                         uint8_t attempt);
+                         uint32_t attempt);
 
 } // namespace balsamrack
 
--- a/Balsamrack/Packets/Packet.h
+++ b/Balsamrack/Packets/Packet.h
@@ -67,7 +67,7 @@
   Duration Age{0}; ///< Time since the first copy of an opening was sent.
   Duration NextCopyAfter{
       0}; ///< Time from this copy to the next one, or after the last copy
-          ///< until the caller gives up; zero if not known.
+          ///< until the caller gives up; zero if none follows.
   std::optional<Duration>
       Waited; ///< Time that the packet has waited in the socket, if known.
   uint16_t DataBytes = 0;    ///< Bytes after the header.
--- a/Balsamrack/Packets/PacketAdmission.cpp
+++ b/Balsamrack/Packets/PacketAdmission.cpp
@@ -293,7 +293,7 @@
 
 bool PacketRouter::queueLateOpening(TimePoint now, const PacketHeader &head,
                                     const uint8_t *bytes, size_t n,
-                                    const OpeningCopies &copies) {
+                                    OpeningQueue::Item item) {
   auto route = Routes->Routes.find(head.Flow.Service);
   if (route == Routes->Routes.end())
     return false;
@@ -301,9 +301,8 @@
       {head.Age, route->second.Objective, route->second.Timeout});
   if (wait == Duration{0} || !areSlotsTakenFor(now, head))
     return false;
-  OpeningQueue::Item item;
-  item.Copies = copies;
-  item.Deadline = now + wait;
+  // A copy of an opening that waits already does not prolong the wait.
+  item.Deadline = std::min(item.Deadline, now + wait);
   return item.Opening.assign(head, bytes, n) && Late.push(item);
 }
 
--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-/// More than the bytes that a caller sends between two packets which this
-/// daemon gets, and a small part of all sequence numbers.
-constexpr uint32_t SequenceWindow = 1U << 24;
+/// More than the bytes that a caller has in flight, and a small part of all
+/// sequence numbers. A flow that has sent more elsewhere meanwhile is found by
+/// its token.
+constexpr uint32_t SequenceWindow = 1U << 16;
 
 } // namespace
 
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -58,7 +58,7 @@
                                 PacketSink &out) {
   recordCall(now);
   if (!Routes && head.Opens &&
-      bufferOpening(now, head, bytes, n, recordCopy(now, head)))
+      bufferOpening(now, head, bytes, n, takeWaitingOpening(now, head).Copies))
     return;
   if (!Routes) {
     out.report(makeEvent(PacketEventKind::Dropped, PacketReason::NotReady,
@@ -96,11 +96,14 @@
     uncountRequest(*flow);
     Flows.erase(head.Flow);
   }
-  OpeningCopies copies = recordCopy(now, head);
+  OpeningQueue::Item item = takeWaitingOpening(now, head);
+  const OpeningCopies &copies = item.Copies;
   // The original SYN stands for all copies, which may reach other daemons.
   if (head.CopyNumber == 0 && !Demands.empty())
     recordDemand(serviceFor(head.Flow));
-  if (Stale || isAwaitingServers(head)) {
+  // If it has waited while the caller sent the next copy, that one comes here
+  // too or may have opened the flow through another daemon.
+  if (Stale || isOutdated(now, copies) || isAwaitingServers(head)) {
     if (!bufferOpening(now, head, bytes, n, copies))
       out.report(makeEvent(PacketEventKind::Dropped,
                            Stale ? PacketReason::Stale : PacketReason::NotReady,
@@ -108,21 +111,30 @@
     return;
   }
   if (admit(now, head, bytes, n, copies, out) ||
-      queueLateOpening(now, head, bytes, n, copies))
+      queueLateOpening(now, head, bytes, n, item))
     return;
   place(now, head, bytes, n, copies, out);
 }
 
-OpeningCopies PacketRouter::recordCopy(TimePoint now,
-                                       const PacketHeader &head) {
-  OpeningCopies copies;
-  for (OpeningQueue *queue : {&Buffered, &Late}) {
-    auto item = queue->take(head.Flow);
-    if (item && item->Opening.Head.Sequence == head.Sequence)
-      copies = item->Copies;
-  }
-  copies.add(now, head, mayHaveWaited());
-  return copies;
+OpeningQueue::Item PacketRouter::takeWaitingOpening(TimePoint now,
+                                                    const PacketHeader &head) {
+  OpeningQueue::Item item;
+  item.Deadline = Never;
+  auto isCopy = [&](const std::optional<OpeningQueue::Item> &it) {
+    return it && it->Opening.Head.Sequence == head.Sequence;
+  };
+  auto buffered = Buffered.take(head.Flow);
+  auto late = Late.take(head.Flow);
+  if (isCopy(late))
+    item = *late;
+  else if (isCopy(buffered))
+    item.Copies = buffered->Copies;
+  item.Copies.add(now, head, mayHaveWaited());
+  return item;
+}
+
+bool PacketRouter::isOutdated(TimePoint now, const OpeningCopies &copies) {
+  return !copies.areAllHere(now) && !copies.isNewest(now);
 }
 
 void PacketRouter::removeWaitingOpening(const FlowKey &flow) {
@@ -160,11 +172,7 @@
   for (; due > 0; --due) {
     OpeningQueue::Item item = Buffered.pop();
     const BufferedOpening &opening = item.Opening;
-    // The caller has sent another copy meanwhile, or may have, which comes here
-    // or has opened the flow through another daemon.
-    bool isOutdated =
-        !item.Copies.areAllHere(now) && !item.Copies.isNewest(now);
-    if (isOutdated || isAwaitingServers(opening.Head)) {
+    if (isOutdated(now, item.Copies) || isAwaitingServers(opening.Head)) {
       Buffered.push(item);
       continue;
     }
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -54,6 +54,7 @@
       1'500'000}; ///< Time until the fabric routes callers to other daemons: it
                   ///< checks readiness twice a second and requires two failed
                   ///< checks.
+  uint32_t TokenSalt = 0;             ///< A number of this daemon's own.
   LoadSettings Load;                  ///< Optional decisions under load.
   OpeningAdmissionSettings Admission; ///< Used if Load.Admission is set.
   FailureDetectorSettings Detector;   ///< Settings of the failure detector.
@@ -221,7 +222,8 @@
 
   void handleOpening(TimePoint now, const PacketHeader &head,
                      const uint8_t *bytes, size_t n, PacketSink &out);
-  OpeningCopies recordCopy(TimePoint now, const PacketHeader &head);
+  OpeningQueue::Item takeWaitingOpening(TimePoint now,
+                                        const PacketHeader &head);
   bool bufferOpening(TimePoint now, const PacketHeader &head,
                      const uint8_t *bytes, size_t n,
                      const OpeningCopies &copies);
@@ -249,11 +251,12 @@
   TimePoint nextHeldWakeup() const;
   bool queueLateOpening(TimePoint now, const PacketHeader &head,
                         const uint8_t *bytes, size_t n,
-                        const OpeningCopies &copies);
+                        OpeningQueue::Item item);
   bool areSlotsTakenFor(TimePoint now, const PacketHeader &head);
   bool mayHaveWaited() const;
   bool isLateCopy(TimePoint now, const TrackedFlow &flow,
                   const PacketHeader &head) const;
+  static bool isOutdated(TimePoint now, const OpeningCopies &copies);
   void removeWaitingOpening(const FlowKey &flow);
   bool isAwaitingServers(const PacketHeader &head);
   void placeLateOpenings(TimePoint now, PacketSink &out);
--- a/Balsamrack/Packets/PacketTokens.cpp
+++ b/Balsamrack/Packets/PacketTokens.cpp
@@ -37,12 +37,9 @@
 uint32_t PacketRouter::openingToken(const TrackedFlow &flow,
                                     const PacketHeader &head, ServerIndex to,
                                     OpeningCause cause) const {
-  // The caller may have answered the earlier server through another daemon,
-  // unless that server is dead.
   uint32_t server = Servers.at(to).Backend.Token;
-  if (cause == OpeningCause::Timeout &&
-      !Detector.isUnreachable(flow.Tried[flow.LastTriedOnArrival]))
-    return furtherTryToken(server, head.Flow, flow.Tries);
+  if (cause == OpeningCause::Timeout)
+    return furtherTryToken(server, head.Flow, Settings.TokenSalt + flow.Tries);
   return firstPacketToken(server, head.Flow, head.Sequence);
 }
 
@@ -51,7 +48,7 @@
                              const PacketHeader &head) const {
   for (uint8_t i = 1; i < flow.Tries; ++i)
     if (furtherTryToken(Servers.at(flow.Tried[i]).Backend.Token, head.Flow,
-                        i) == head.Token)
+                        Settings.TokenSalt + i) == head.Token)
       return i;
   return std::nullopt;
 }
@@ -156,16 +153,14 @@
   if (flow.Tries == 1 && flow.Copies.areAllHere(now))
     return {flow.Server, PacketReason::None, ServerEvidence::Handshake};
   bool isFirst = head.Sequence == flow.FirstSequence + 1;
-  if (isFirst && match.Server != NoServerIndex)
-    return match;
   TokenMatch undecided{NoServerIndex, PacketReason::Undecided,
                        ServerEvidence::None};
+  bool isRecent = now - flow.UnansweredAt < MinRetransmissionTime;
+  if (isFirst && match.Server != NoServerIndex)
+    return isRecent || flow.hasTried(match.Server) ? match : undecided;
   auto attempt = attemptOfToken(flow, head);
   if (!attempt)
     return undecided;
-  // Unless it is a retransmission, the first packet has the token of the server
-  // that the caller has answered.
-  bool isRecent = now - flow.UnansweredAt < MinRetransmissionTime;
   if (isFirst && isRecent)
     return {flow.Tried[*attempt], PacketReason::None,
             ServerEvidence::Handshake};
--- a/UnitTests/Daemon/PacketForwarderTest.cpp
+++ b/UnitTests/Daemon/PacketForwarderTest.cpp
@@ -172,6 +172,7 @@
     forwarder.setFresh();
   }
   // The next opening is forwarded in any case.
+  Time.advance(Duration(1'000));
   socket.deliver(opening(8), Duration{0});
   size_t forwarded = GetParam().IsOutdated ? 1 : 2;
   EXPECT_TRUE(waitUntil([&] { return socket.sent() >= forwarded; }));
--- a/UnitTests/Packets/MovedHandshakeTest.cpp
+++ b/UnitTests/Packets/MovedHandshakeTest.cpp
@@ -106,16 +106,17 @@
   const char *Name;
   uint8_t Copy;       ///< The copy that the first daemon gets first.
   Duration Interrupt; ///< The first daemon was not called for this long.
-  bool IsDelayed; ///< It waited in the socket of the first daemon meanwhile.
+  bool IsDelayed;   ///< It waited in the socket of the first daemon meanwhile.
+  bool IsForwarded; ///< It is forwarded: the caller has sent no later copy.
 };
 
 class EachRepeatedOpening
     : public MovedHandshakeTest,
       public testing::WithParamInterface<RepeatedOpening> {};
 
-// A daemon sends an opening to further servers that has opened its flow through
-// another daemon. Guards against tokens that refer to one of the servers that
-// this daemon has tried.
+// A daemon gets an opening that has opened its flow through another daemon.
+// Guards against tokens that name one of the servers that this daemon has
+// tried, and against trying any if the caller may have sent a later copy.
 TEST_P(EachRepeatedOpening, RetriesReferToNoServer) {
   Second.sendOpening(Port, 1);
   uint64_t home = Second.lastTag();
@@ -125,6 +126,11 @@
   First.Router.setDelayed(GetParam().IsDelayed);
   First.sendOpening(Port, GetParam().Copy);
   First.Router.setDelayed(false);
+  if (!GetParam().IsForwarded) {
+    First.advance(Millisecond * 200);
+    EXPECT_TRUE(First.Out.Sent.empty());
+    return;
+  }
   retryUntil(2);
   Third.sendRequest(Port, First.lastToken(), 1);
   EXPECT_TRUE(Third.Out.Sent.empty());
@@ -134,11 +140,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Openings, EachRepeatedOpening,
-    testing::Values(RepeatedOpening{"SecondCopy", 1, Millisecond, false},
-                    RepeatedOpening{"LastCopy", 2, Millisecond, false},
+    testing::Values(RepeatedOpening{"SecondCopy", 1, Millisecond, false, true},
+                    RepeatedOpening{"LastCopy", 2, Millisecond, false, true},
                     RepeatedOpening{"AfterAnInterruption", 0, Millisecond * 500,
-                                    false},
-                    RepeatedOpening{"AfterASuspension", 0, Millisecond, true}),
+                                    false, false},
+                    RepeatedOpening{"AfterASuspension", 0, Millisecond, true,
+                                    false}),
     [](const auto &info) { return std::string(info.param.Name); });
 
 struct Adoption {
--- a/UnitTests/Packets/PacketRouterHarness.h
+++ b/UnitTests/Packets/PacketRouterHarness.h
@@ -58,8 +58,12 @@
 
   explicit PacketRouterHarness(uint64_t seed = 1,
                                const PacketRouterSettings &routing = settings())
-      : Random(seed), Router(routing, Random) {}
+      : Random(seed), Router(withSalt(routing, seed), Random) {}
 
+  static PacketRouterSettings withSalt(PacketRouterSettings s, uint64_t salt) {
+    s.TokenSalt = static_cast<uint32_t>(salt);
+    return s;
+  }
   static PacketRouterSettings settings() {
     PacketRouterSettings s;
     s.Domain = DomainId("bern-a");
