--- a/Balsamrack/Packets/OpeningQueue.cpp
+++ b/Balsamrack/Packets/OpeningQueue.cpp
@@ -26,9 +26,6 @@
 }
 
 std::optional<OpeningQueue::Item> OpeningQueue::take(const FlowKey &flow) {
-  // Most packets arrive while nothing waits.
-  if (Items.empty())
-    return std::nullopt;
   auto it = ByFlow.find(flow);
   if (it == ByFlow.end())
     return std::nullopt;
--- a/Balsamrack/Packets/OvertakingPackets.cpp
+++ b/Balsamrack/Packets/OvertakingPackets.cpp
@@ -17,6 +17,8 @@
 std::vector<OvertakingPackets::Item>
 OvertakingPackets::take(const FlowKey &flow) {
   std::vector<Item> taken;
+  if (Items.empty())
+    return taken;
   auto isOther = [&](const Item &it) { return !(it.Head.Flow == flow); };
   auto rest = std::stable_partition(Items.begin(), Items.end(), isOther);
   std::move(rest, Items.end(), std::back_inserter(taken));
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -138,10 +138,11 @@
 }
 
 void PacketRouter::removeWaitingOpening(const FlowKey &flow) {
+  // Most packets arrive while nothing waits.
+  if (Buffered.empty() && Late.empty() && Held.empty())
+    return;
   Buffered.take(flow);
   Late.take(flow);
-  if (Held.empty())
-    return;
   if (HeldOpening *held = Held.find(flow)) {
     Admissions.at(held->Service).remove(held->Id);
     Held.take(held->Id);
