Trust a first packet that can't be a retransmission, and later tokens of its flow

Flows of a removed server are uncounted before they are erased, so that the load of the service does not drift.

--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -55,9 +55,14 @@
   return &flow;
 }
 
-void PacketFlowTable::eraseFlowsAt(ServerIndex server) {
-  absl::erase_if(
-      Flows, [server](const auto &it) { return it.second.Server == server; });
+void PacketFlowTable::eraseFlowsAt(
+    ServerIndex server, const std::function<void(TrackedFlow &)> &onErase) {
+  absl::erase_if(Flows, [&](auto &it) {
+    bool isThere = it.second.Server == server;
+    if (isThere)
+      onErase(it.second);
+    return isThere;
+  });
 }
 
 void PacketFlowTable::processTimers(TimePoint now, const DurationOf &idleLimit,
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -88,8 +88,9 @@
   TrackedFlow *add(TimePoint now, const FlowKey &key);
   /// Removes a flow.
   void erase(const FlowKey &key) { Flows.erase(key); }
-  /// Removes the flows at \p server.
-  void eraseFlowsAt(ServerIndex server);
+  /// Removes the flows at \p server; calls \p onErase for each before.
+  void eraseFlowsAt(ServerIndex server,
+                    const std::function<void(TrackedFlow &)> &onErase);
   /// Number of flows.
   size_t size() const { return Flows.size(); }
 
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -35,7 +35,8 @@
   for (ServerIndex index : change.Removed) {
     Detector.remove(index);
     // The index is used again.
-    Flows.eraseFlowsAt(index);
+    Flows.eraseFlowsAt(index,
+                       [this](TrackedFlow &flow) { uncountRequest(flow); });
     forgetSpeed(index);
   }
   forgetOldInstances(update);
--- a/Balsamrack/Packets/PacketTokens.cpp
+++ b/Balsamrack/Packets/PacketTokens.cpp
@@ -125,8 +125,10 @@
 
 void PacketRouter::followToken(TimePoint now, TrackedFlow &flow,
                                const PacketHeader &head, PacketSink &out) {
-  if (head.Token == Servers.at(flow.Server).Backend.Token)
+  if (head.Token == Servers.at(flow.Server).Backend.Token) {
+    flow.Evidence = ServerEvidence::Token;
     return;
+  }
   auto route = Routes->Routes.find(head.Flow.Service);
   ServerIndex named = NoServerIndex;
   if (route == Routes->Routes.end() ||
@@ -156,8 +158,12 @@
   TokenMatch undecided{NoServerIndex, PacketReason::Undecided,
                        ServerEvidence::None};
   bool isRecent = now - flow.UnansweredAt < MinRetransmissionTime;
+  // Unless it is a retransmission, the first packet has the token of the server
+  // that the caller has answered.
+  if (isFirst && isRecent && match.Server != NoServerIndex)
+    return {match.Server, PacketReason::None, ServerEvidence::Handshake};
   if (isFirst && match.Server != NoServerIndex)
-    return isRecent || flow.hasTried(match.Server) ? match : undecided;
+    return flow.hasTried(match.Server) ? match : undecided;
   auto attempt = attemptOfToken(flow, head);
   if (!attempt)
     return undecided;
