--- a/UnitTests/Packets/MovedHandshakeTest.cpp
+++ b/UnitTests/Packets/MovedHandshakeTest.cpp
@@ -47,7 +47,7 @@
   ASSERT_NE(First.lastTag(), home);
   uint32_t late = First.lastToken();
   Third.sendRequest(Port, late, 1);
-  EXPECT_TRUE(Third.Out.Sent.empty()) << "see ARescuedFlowIsNotSentToThe...";
+  EXPECT_TRUE(Third.Out.Sent.empty()) << "a rescued flow sends the same packet";
   EXPECT_TRUE(Third.Out.Resets.empty());
   Second.sendRequest(Port, late, 1);
   EXPECT_EQ(Second.lastTag(), home) << "a daemon that tracks the flow knows";
--- a/UnitTests/Packets/MovingSite.cpp
+++ b/UnitTests/Packets/MovingSite.cpp
@@ -341,11 +341,10 @@
     // Retransmitted until the caller certainly has it.
     for (Duration again : {Duration(0), Duration(200'000), Duration(600'000)})
       at(Now + again + transit(),
-         [this, key, index, token, sequence, first, request, again] {
+         [this, key, index, token, sequence, first, request] {
            if (!happens(Settings.Loss))
              arriveAtCaller(key.first, index, token, sequence, false, false,
                             first, request + 1);
-           (void)again;
          });
   });
 }
@@ -412,14 +411,12 @@
 
 void MovingSite::openFlow(size_t index) {
   Caller &caller = Callers[index];
-  uint16_t port = caller.Port;
   uint32_t attempt = caller.Attempt + 1;
   caller = Caller();
   constexpr uint16_t FirstPort = 1024;
   constexpr uint16_t PortsOfCaller = 1000;
   uint32_t turn = Settings.ReusePorts ? attempt % 2 : attempt % PortsOfCaller;
   caller.Port = static_cast<uint16_t>(FirstPort + index * PortsOfCaller + turn);
-  (void)port;
   caller.Attempt = attempt;
   caller.IsOpening = true;
   caller.First = static_cast<uint32_t>(Random.below(UINT32_MAX));
