--- a/UnitTests/Packets/MovingSite.cpp
+++ b/UnitTests/Packets/MovingSite.cpp
@@ -159,7 +159,7 @@
     specs.push_back(
         {"b" + std::to_string(i), i % 2 == 0 ? "bern-a" : "bern-b"});
   router.publishServers(specs);
-  router.Router.setFleet({index, Daemons, index, Daemons});
+  router.Router.setFleet({Daemons, index, Daemons, index, {}});
   router.Router.tick(Now, daemon->Out);
   AllDaemons[index] = std::move(daemon);
 }
