--- a/review/stand-ins-2/stand_ins.hh
+++ b/review/stand-ins-2/stand_ins.hh
@@ -396,6 +396,108 @@
   std::thread Loop;
 };
 
+/// A TCP proxy before the store. Channels that are open at silence() carry
+/// nothing more, without a reset; new ones work.
+class Proxy {
+public:
+  Proxy(uint16_t port, uint16_t to)
+      : Fd(openSocket(SOCK_STREAM, "127.0.0.1", port)), To(to) {
+    if (Fd < 0)
+      cannotRun("the proxy's port is taken");
+    Loop = std::thread([this] { run(); });
+  }
+  ~Proxy() {
+    Stopping = true;
+    Loop.join();
+    close(Fd);
+    for (const Pair &it : All) {
+      close(it.Client);
+      close(it.Server);
+    }
+  }
+  /// Returns the number of channels that are silent now.
+  size_t silence() {
+    Lock hold(Mutex);
+    size_t n = 0;
+    for (Pair &it : All) {
+      n += it.Silent ? 0 : 1;
+      it.Silent = true;
+    }
+    return n;
+  }
+
+private:
+  struct Pair {
+    int Client, Server;
+    bool Silent = false;
+  };
+
+  static bool copy(int from, int to) {
+    char buf[16384];
+    ssize_t n = recv(from, buf, sizeof buf, 0);
+    if (n == 0 || (n < 0 && errno != EAGAIN))
+      return false;
+    for (ssize_t done = 0; done < n;) {
+      ssize_t k =
+          send(to, buf + done, static_cast<size_t>(n - done), MSG_NOSIGNAL);
+      if (k < 0 && errno != EAGAIN)
+        return false;
+      done += std::max<ssize_t>(k, 0);
+    }
+    return true;
+  }
+  void run() {
+    while (!Stopping) {
+      std::vector<pollfd> polled{{Fd, POLLIN, 0}};
+      {
+        Lock hold(Mutex);
+        for (const Pair &it : All) {
+          // poll() ignores negative descriptors.
+          polled.push_back({it.Silent ? -1 : it.Client, POLLIN, 0});
+          polled.push_back({it.Silent ? -1 : it.Server, POLLIN, 0});
+        }
+      }
+      poll(polled.data(), polled.size(), 5);
+      Lock hold(Mutex);
+      std::vector<Pair> left;
+      for (size_t i = 0; i < All.size(); ++i) {
+        Pair it = All[i];
+        bool open = true;
+        if (!it.Silent && polled[2 * i + 1].revents)
+          open = copy(it.Client, it.Server);
+        if (open && !it.Silent && polled[2 * i + 2].revents)
+          open = copy(it.Server, it.Client);
+        if (open) {
+          left.push_back(it);
+          continue;
+        }
+        close(it.Client);
+        close(it.Server);
+      }
+      All = left;
+      for (int fd; (fd = accept4(Fd, nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+        int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at = addressOf("127.0.0.1", To);
+        if (connect(to, reinterpret_cast<sockaddr *>(&at), sizeof at) != 0) {
+          close(fd);
+          close(to);
+          continue;
+        }
+        fcntl(to, F_SETFL, fcntl(to, F_GETFL) | O_NONBLOCK);
+        All.push_back({fd, to, false});
+      }
+    }
+  }
+
+  const int Fd;
+  const uint16_t To;
+  std::mutex Mutex;
+  std::vector<Pair> All;
+  std::atomic<bool> Stopping{false};
+  std::thread Loop;
+};
+
 constexpr uint8_t Syn = 2, Rst = 8, Ack = 32, Fin = 64;
 constexpr size_t HeadBytes = 31;
 
