--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -144,6 +144,7 @@
     sleepUntil(begin + RoundS);
   }
   clients.stop();
+  recordSeconds(record, clients, servers);
 
   std::map<std::string, double> ackedAt;
   for (const Leaving &it : leaving)
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -125,6 +125,7 @@
               Dropped);
   sleepFor(30);
   clients.stop();
+  recordSeconds(record, clients, servers);
 
   size_t refused = 0, run = 0, right = 0;
   double first = 0, last = 0;
--- a/review/stand-ins-2/stand_ins.hh
+++ b/review/stand-ins-2/stand_ins.hh
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -630,6 +631,11 @@
     Lock hold(Mutex);
     return Forged;
   }
+  /// Requests that began to run, by second.
+  std::map<int, size_t> runsBySecond() {
+    Lock hold(Mutex);
+    return RunAt;
+  }
 
 private:
   struct Flow {
@@ -717,6 +723,7 @@
     if (!p.Data.empty() && p.Seq == f.NextSeq) {
       f.NextSeq += static_cast<uint32_t>(p.Data.size());
       ++Runs[p.Data];
+      ++RunAt[static_cast<int>(now())];
       f.Answer = out;
       f.Answer.Flags = Ack;
       f.Answer.Seq = f.OwnSeq + 1;
@@ -789,6 +796,7 @@
   std::deque<Due> Pending;
   std::vector<Opening> Taken;
   std::map<std::string, int> Runs;
+  std::map<int, size_t> RunAt;
   size_t Forged = 0;
   std::mt19937 Random{std::random_device{}()};
   std::atomic<bool> Stopping{false};
@@ -851,6 +859,8 @@
     Daemon &it = All[i];
     pid_t pid = fork();
     if (pid == 0) {
+      // Ends with this program, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       int log = open(it.LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(log, 1);
       dup2(log, 2);
@@ -1020,6 +1030,11 @@
     auto it = Sent.find({ip, port});
     return it == Sent.end() ? -1 : it->second;
   }
+  /// Flows that were opened and requests that were answered, by second.
+  std::map<int, std::pair<size_t, size_t>> bySecond() {
+    Lock hold(Mutex);
+    return Seconds;
+  }
   std::vector<Result> results() {
     Lock hold(Mutex);
     return Results;
@@ -1068,6 +1083,7 @@
     it.Seq = static_cast<uint32_t>(Random());
     send(g, port, it, Syn, it.Seq, 0, "");
     Sent[{ipNumber(Groups[g].Ip), port}] = it.At;
+    ++Seconds[static_cast<int>(it.At)].first;
     All[{g, port}] = it;
   }
   /// A try ended without an answer.
@@ -1110,6 +1126,7 @@
     if (p.Data.empty())
       return;
     bool right = p.Data == "answer to " + it.Request;
+    Seconds[static_cast<int>(now())].second += right ? 1 : 0;
     if (!right || Groups[g].Direct < 0)
       ++(right ? Sum.Answered : Sum.Wrong);
     send(g, p.Dport, it, Fin | Ack,
@@ -1181,11 +1198,24 @@
   Counts Sum;
   size_t LastRequest = 0;
   std::vector<Result> Results;
+  std::map<int, std::pair<size_t, size_t>> Seconds;
   std::mt19937 Random{std::random_device{}()};
   std::atomic<bool> Stopping{false};
   std::thread Loop;
 };
 
+/// Writes what was sent, answered and run in each second.
+inline void recordSeconds(Record &record, Clients &clients, Servers &servers) {
+  auto runs = servers.runsBySecond();
+  for (const auto &[second, it] : clients.bySecond())
+    record.line("second %d: %zu flows sent, %zu requests answered, %zu run",
+                second, it.first, it.second, runs[second]);
+  size_t twice = 0;
+  for (const auto &[request, n] : servers.runs())
+    twice += n > 1 ? 1 : 0;
+  record.line("requests that were run more than once: %zu", twice);
+}
+
 /// True unless TROUBLE=0 is set.
 inline bool hasTrouble() {
   const char *text = getenv("TROUBLE");
