--- a/review/stand-ins-2/stand_ins.hh
+++ b/review/stand-ins-2/stand_ins.hh
@@ -586,6 +586,13 @@
     std::string Id, Service, Zone, Ip;
     uint16_t Port = 0;
     uint64_t Born = 0;
+    double SlowUntil = 0;     ///< Just started, and slow until then.
+    double HandshakeS = 0;    ///< Time to answer an opening while slow.
+  };
+  /// Where a flow is open.
+  struct OpenFlow {
+    std::string ServerId, ServerIp;
+    double At = 0;
   };
 
   /// \p clientPort: port of the clients' machines. \p workS: time of a request.
@@ -631,6 +638,16 @@
     Lock hold(Mutex);
     return Forged;
   }
+  /// Only every second packet is acknowledged, and the answer acknowledges its
+  /// request; otherwise each packet is.
+  void acknowledgeEverySecond() { EverySecond = true; }
+  /// The server at which the flow of a client is open; empty for none.
+  OpenFlow openFlow(uint32_t client, uint16_t port) {
+    Lock hold(Mutex);
+    auto it = OpenAt.find({client, port});
+    return it == OpenAt.end() || !All.count(it->second.ServerId) ? OpenFlow()
+                                                                 : it->second;
+  }
   /// Requests that began to run, by second.
   std::map<int, size_t> runsBySecond() {
     Lock hold(Mutex);
@@ -643,6 +660,7 @@
     uint32_t OwnSeq = 0;    ///< Sequence number of the SYN+ACK.
     uint32_t Echo = 0;
     bool Open = false, Ran = false, Ended = false;
+    uint32_t Unacknowledged = 0;
     Packet Answer;
   };
   struct One {
@@ -657,6 +675,12 @@
     std::pair<uint32_t, uint16_t> Key;
   };
 
+  struct LateAnswer {
+    double At;
+    std::string Id;
+    Packet Out;
+  };
+
   static void closeSockets(One &it) {
     close(it.Udp);
     close(it.Tcp);
@@ -697,6 +721,8 @@
       out.Flags = Syn | Ack;
       out.Seq = flow->second.OwnSeq;
       out.Acked = p.Seq + 1;
+      if (now() < it.Is.SlowUntil)
+        return Late.push_back({now() + it.Is.HandshakeS, it.Is.Id, out});
       return reply(it, out, p.Src);
     }
     bool known = flow != it.Flows.end() &&
@@ -709,6 +735,8 @@
       return reply(it, out, p.Src);
     }
     Flow &f = flow->second;
+    if (!f.Open)
+      OpenAt[key] = {it.Is.Id, it.Is.Ip, now()};
     f.Open = true;
     f.Echo = p.Echo;
     if (p.Flags & Rst) {
@@ -741,7 +769,7 @@
       f.Ended = true;
       return reply(it, out, p.Src);
     }
-    if (!p.Data.empty()) {
+    if (!p.Data.empty() && (!EverySecond || ++f.Unacknowledged % 2 == 0)) {
       out.Flags = Ack;
       out.Seq = f.OwnSeq + 1;
       out.Acked = f.NextSeq;
@@ -773,6 +801,13 @@
         for (int fd; (fd = accept4(it.Tcp, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;)
           close(fd);
       }
+      while (!Late.empty() && Late.front().At <= now()) {
+        LateAnswer late = Late.front();
+        Late.pop_front();
+        auto server = All.find(late.Id);
+        if (server != All.end())
+          reply(server->second, late.Out, late.Out.Dst);
+      }
       while (!Pending.empty() && Pending.front().At <= now()) {
         Due due = Pending.front();
         Pending.pop_front();
@@ -794,6 +829,9 @@
   const double WorkS;
   std::map<std::string, One> All;
   std::deque<Due> Pending;
+  std::deque<LateAnswer> Late;
+  std::map<std::pair<uint32_t, uint16_t>, OpenFlow> OpenAt;
+  std::atomic<bool> EverySecond{false};
   std::vector<Opening> Taken;
   std::map<std::string, int> Runs;
   std::map<int, size_t> RunAt;
@@ -887,6 +925,19 @@
     All[i].Pid = 0;
     All[i].Events.push_back(now());
   }
+  /// SIGTERM, and SIGKILL if it goes on for longer than graceS.
+  void stopInTime(size_t i, double graceS) {
+    pid_t pid = All[i].Pid;
+    ::kill(pid, SIGTERM);
+    int status = 0;
+    for (double limit = now() + graceS; waitpid(pid, &status, WNOHANG) == 0;
+         sleepFor(0.01))
+      if (now() > limit)
+        return kill(i, SIGKILL);
+    Lock hold(Mutex);
+    All[i].Pid = 0;
+    All[i].Events.push_back(now());
+  }
   /// Begins the checks of readiness, twice a second.
   void startChecks() {
     InRotation.assign(All.size(), false);
@@ -1035,6 +1086,18 @@
     Lock hold(Mutex);
     return Seconds;
   }
+  /// A reset that a client got.
+  struct Reset {
+    double At = 0;
+    std::string From;      ///< Address of the machine that sent it.
+    uint32_t Client = 0;
+    uint16_t Port = 0;
+    bool Open = false;     ///< The client took the flow for open.
+    std::string Request;
+    std::vector<std::string> Through; ///< Daemons, in order.
+  };
+  /// Called for each reset, on the clients' thread.
+  std::function<void(const Reset &)> OnReset;
   std::vector<Result> results() {
     Lock hold(Mutex);
     return Results;
@@ -1052,9 +1115,10 @@
     uint8_t Copies = 0;
     bool Open = false;
     uint32_t Seq = 0, Peer = 0, Echo = 0;
+    std::vector<std::string> Through = {};
   };
 
-  void send(size_t g, uint16_t port, const Attempt &it, uint8_t flags,
+  void send(size_t g, uint16_t port, Attempt &it, uint8_t flags,
             uint32_t seq, uint32_t acked, const std::string &data) {
     Packet p;
     p.Src = ipNumber(Groups[g].Ip);
@@ -1069,6 +1133,8 @@
     uint64_t hash = (uint64_t{p.Src} << 16 | port) * 0x9e3779b97f4a7c15ULL >> 33;
     int to = Groups[g].Direct >= 0 ? Groups[g].Direct
                                    : Routers.route(Groups[g].Zone, hash);
+    if (to >= 0)
+      it.Through.push_back(Routers.all()[static_cast<size_t>(to)].Name);
     if (to >= 0)
       sendPacket(Fds[g], Routers.all()[static_cast<size_t>(to)].Ip,
                  Routers.packetPort(), p.bytes());
@@ -1100,7 +1166,7 @@
       return begin(g, it.Request, it.Tries + 1, it.Deadline);
     ++(reset ? Sum.Reset : Sum.TimedOut);
   }
-  void handle(size_t g, const Packet &p) {
+  void handle(size_t g, const Packet &p, const std::string &from) {
     auto at = All.find({g, p.Dport});
     if (at == All.end() || p.Src != ipNumber(Groups[g].RouteIp))
       return;
@@ -1108,6 +1174,10 @@
     if (p.Flags & Rst) {
       Attempt ended = it;
       All.erase(at);
+      if (OnReset)
+        OnReset({now(), from, ipNumber(Groups[g].Ip), p.Dport, ended.Open,
+                 ended.Request.substr(0, ended.Request.find('.')),
+                 ended.Through});
       return fail(g, ended, true);
     }
     it.Echo = p.Echo;
@@ -1166,10 +1236,14 @@
       Lock hold(Mutex);
       for (size_t g = 0; g < Groups.size(); ++g) {
         char buf[2048];
-        for (ssize_t n; (n = recv(Fds[g], buf, sizeof buf, 0)) > 0;) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        for (ssize_t n;
+             (n = recvfrom(Fds[g], buf, sizeof buf, 0,
+                           reinterpret_cast<sockaddr *>(&from), &size)) > 0;) {
           Packet p;
           if (Packet::parse(buf, static_cast<size_t>(n), p))
-            handle(g, p);
+            handle(g, p, ipText(ntohl(from.sin_addr.s_addr)));
         }
         while (Groups[g].PerSecond > 0 && NextAt[g] <= now()) {
           std::exponential_distribution<double> gap(Groups[g].PerSecond);
