--- a/Balsamrack/Daemon/PacketControlPlane.cpp
+++ b/Balsamrack/Daemon/PacketControlPlane.cpp
@@ -99,6 +99,7 @@
 void PacketControlPlane::addSeeds(const std::vector<EntryVm> &seeds) {
   Tasks->post([this, seeds](TimePoint now) {
     Seeds = seeds;
+    PeersDue = true;
     stepMembership(now, balsamrack::Seeds{seeds});
   });
 }
@@ -110,6 +111,26 @@
   });
 }
 
+void PacketControlPlane::relay(DaemonTag to, RelayedPacket packet) {
+  if (PendingRelays.fetch_add(1) >= MaxPendingRelays) {
+    --PendingRelays;
+    return;
+  }
+  Tasks->post([this, to, packet = std::move(packet)](TimePoint) {
+    --PendingRelays;
+    if (!sendToTag(to, packet) && !IsSettled &&
+        UnsentRelays.size() < MaxPendingRelays)
+      UnsentRelays.emplace_back(to, packet);
+  });
+}
+
+bool PacketControlPlane::sendToTag(DaemonTag tag, const RelayedPacket &packet) {
+  auto [first, last] = PeersByTag.equal_range(tag);
+  for (auto it = first; it != last; ++it)
+    send(it->second, packet);
+  return first != last;
+}
+
 void PacketControlPlane::announceLeaving() {
   Tasks->post(
       [this](TimePoint now) { stepMembership(now, MembershipLeaving{}); });
@@ -144,6 +165,7 @@
       handleMessage(now, from, std::move(message));
     });
     stepMembership(now, MembershipTicked{});
+    publishPeers(now);
     publishMembers(now);
     runExchange(now, Exchange.tick(now));
     publishRoutes(now);
@@ -180,6 +202,8 @@
   } else if (const auto *update = std::get_if<PublishedUpdate>(&message)) {
     notifyIfRefreshed();
     runExchange(now, Exchange.handleUpdate(now, sender, *update));
+  } else if (auto *relayed = std::get_if<RelayedPacket>(&message)) {
+    Listener.onPacketRelayed(std::move(*relayed));
   }
 }
 
@@ -200,7 +224,7 @@
                to->Content);
   } else if (const auto *changed = std::get_if<MemberChanged>(&action)) {
     logMember(*changed);
-    MembersDue = true;
+    MembersDue = PeersDue = true;
   } else if (const auto *later = std::get_if<Superseded>(&action)) {
     // Peers know a run of this VM with a higher number: the wall clock, from
     // which the number derives, was set back. Only one process can use an
@@ -252,7 +276,35 @@
     return;
   }
   stepMembership(now, balsamrack::Seeds{Seeds});
-  MembersDue = true;
+  MembersDue = PeersDue = true;
+}
+
+void PacketControlPlane::publishPeers(TimePoint now) {
+  if (!IsSettled && now >= StartedAt + SettlingTime)
+    IsSettled = PeersDue = true;
+  if (!std::exchange(PeersDue, false))
+    return;
+  std::map<VmId, EntryVm> peers;
+  // Shortly after a start, some of these are not known as members yet.
+  for (const EntryVm &vm : Seeds)
+    peers.emplace(vm.Id, vm);
+  for (const auto &[id, member] : Members->members())
+    if (member.live())
+      peers[id] = member.Record.Vm;
+  peers.erase(Self.Id);
+  PeersByTag.clear();
+  for (const auto &[id, vm] : peers)
+    PeersByTag.emplace(DaemonTag::of(id), vm);
+  std::vector<DaemonTag> tags;
+  tags.reserve(PeersByTag.size());
+  for (const auto &[tag, vm] : PeersByTag)
+    tags.push_back(tag);
+  Listener.onPeersChanged(std::move(tags), IsSettled);
+  std::vector<std::pair<DaemonTag, RelayedPacket>> unsent;
+  for (auto &it : std::exchange(UnsentRelays, {}))
+    if (!sendToTag(it.first, it.second) && !IsSettled)
+      unsent.push_back(std::move(it));
+  UnsentRelays = std::move(unsent);
 }
 
 void PacketControlPlane::publishMembers(TimePoint now) {
--- a/Balsamrack/Daemon/PacketControlPlane.h
+++ b/Balsamrack/Daemon/PacketControlPlane.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <map>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -28,10 +29,17 @@
   virtual void onPublishedChanged(const PacketUpdate &update) = 0;
   /// The set of live daemons has changed.
   virtual void onFleetChanged(const FleetPosition &position) = 0;
+  /// Other daemons can be reached, or no longer; \p peers are the tags of all,
+  /// in ascending order; \p isComplete is false shortly after the start. Called
+  /// at once, unlike onFleetChanged().
+  virtual void onPeersChanged(std::vector<DaemonTag> peers,
+                              bool isComplete) = 0;
   /// Updates have arrived after a pause.
   virtual void onRefreshed() = 0;
   /// A peer sent load reports.
   virtual void onLoadReports(const LoadReports &reports) = 0;
+  /// A peer has relayed a caller's packet.
+  virtual void onPacketRelayed(RelayedPacket packet) = 0;
   /// Returns the load reports to send to a peer now.
   virtual LoadReports loadReports() = 0;
 };
@@ -41,6 +49,13 @@
 /// thread of its own. Public methods are thread-safe.
 class PacketControlPlane {
 public:
+  /// Maximum number of packets that wait to be relayed.
+  static constexpr size_t MaxPendingRelays = 1024;
+  /// For this time after the start, packets for unknown daemons wait until
+  /// these are known. Other daemons that start at the same time miss the first
+  /// messages of this one.
+  static constexpr Duration SettlingTime{1'000'000};
+
   /// Starts the thread. \p run orders the runs of this VM. Errors as for
   /// Membership::create(). Precondition: all references outlive the result.
   static absl::StatusOr<std::unique_ptr<PacketControlPlane>>
@@ -59,6 +74,9 @@
   void addSeeds(const std::vector<EntryVm> &seeds);
   /// Requests updates from peers after this process was paused.
   void requestAfterPause();
+  /// Sends a caller's packet to the other daemons with the tag \p to. Drops it
+  /// if MaxPendingRelays wait, or if there is none after SettlingTime.
+  void relay(DaemonTag to, RelayedPacket packet);
   /// Announces to peers that this daemon will stop soon.
   void announceLeaving();
   /// Announces that this daemon has left, and stops the thread. Idempotent.
@@ -90,6 +108,8 @@
   void logChange(const PublishedObject &object, const VmId &from);
   void logHeldServers(TimePoint now, const char *event);
   void publishMembers(TimePoint now);
+  void publishPeers(TimePoint now);
+  bool sendToTag(DaemonTag tag, const RelayedPacket &packet);
   void notifyIfRefreshed();
   void send(const EntryVm &to, const PeerMessage &message);
   void sendAll(const std::vector<EntryVm> &to, const PeerMessage &message);
@@ -116,13 +136,20 @@
   bool RoutesDue = true;        ///< An update is due once the state is usable.
   TimePoint NextRoutesAt;       ///< Earliest next update; see UpdatePeriod.
   bool MembersDue = true;       ///< The set of live daemons has changed.
+  bool PeersDue = true;         ///< The same, for publishPeers().
   TimePoint NextMembersAt;      ///< Earliest next update; see UpdatePeriod.
   bool AwaitingRefresh = false; ///< No updates since the last pause.
   TimePoint NextMetricsAt;
   size_t LivePeers = 0;
+  std::multimap<DaemonTag, EntryVm>
+      PeersByTag; ///< All peers; see publishPeers().
+  /// Packets for daemons that are not known yet; see SettlingTime.
+  std::vector<std::pair<DaemonTag, RelayedPacket>> UnsentRelays;
+  bool IsSettled = false;         ///< SettlingTime is over.
   size_t LoggedMemberChanges = 0; ///< Since NextMembersAt was set.
   std::array<uint64_t, 4> SuppressedMemberChanges{}; ///< By state.
 
+  std::atomic<size_t> PendingRelays{0}; ///< Packets in Tasks.
   std::atomic<bool> Complete{false};
   std::atomic<bool> Stopping{false};
   std::thread Thread;
--- a/Balsamrack/Daemon/PacketDaemon.cpp
+++ b/Balsamrack/Daemon/PacketDaemon.cpp
@@ -84,6 +84,7 @@
   uint64_t seed = combineHash(Settings.self().Id.hash(), run.Value);
   PacketRouterSettings router;
   router.Domain = Settings.Domain;
+  router.Self = DaemonTag::of(Settings.self().Id);
   router.MaxFlows = Settings.MaxFlows;
   router.Load = Settings.Load;
   Forwarder =
@@ -98,6 +99,9 @@
   if (!state.ok())
     return state.status();
   Control = *std::move(state);
+  Forwarder->setRelayHandler([this](DaemonTag to, RelayedPacket packet) {
+    Control->relay(to, std::move(packet));
+  });
   auto ready =
       HttpListener::create(portAt(Settings.ReadyAddress),
                            [this](const std::string &, const Message &message) {
@@ -154,12 +158,21 @@
   Forwarder->setFleet(position);
 }
 
+void PacketDaemon::onPeersChanged(std::vector<DaemonTag> peers,
+                                  bool isComplete) {
+  Forwarder->setPeers(std::move(peers), isComplete);
+}
+
 void PacketDaemon::onRefreshed() { Forwarder->setFresh(); }
 
 void PacketDaemon::onLoadReports(const LoadReports &reports) {
   Forwarder->handleLoadReports(reports);
 }
 
+void PacketDaemon::onPacketRelayed(RelayedPacket packet) {
+  Forwarder->handleRelayed(std::move(packet));
+}
+
 LoadReports PacketDaemon::loadReports() { return Forwarder->loadReports(); }
 
 void PacketDaemon::reload(const PacketSettings &settings) {
--- a/Balsamrack/Daemon/PacketDaemon.h
+++ b/Balsamrack/Daemon/PacketDaemon.h
@@ -49,8 +49,10 @@
   absl::Status start();
   void onPublishedChanged(const PacketUpdate &update) override;
   void onFleetChanged(const FleetPosition &position) override;
+  void onPeersChanged(std::vector<DaemonTag> peers, bool isComplete) override;
   void onRefreshed() override;
   void onLoadReports(const LoadReports &reports) override;
+  void onPacketRelayed(RelayedPacket packet) override;
   LoadReports loadReports() override;
   Answer answerReady(const Message &message);
   bool checkForwarder();
--- a/Balsamrack/Daemon/PacketForwarder.cpp
+++ b/Balsamrack/Daemon/PacketForwarder.cpp
@@ -83,12 +83,32 @@
   Router.setFleet(position);
 }
 
+void PacketForwarder::setPeers(std::vector<DaemonTag> peers, bool isComplete) {
+  std::lock_guard<std::mutex> hold(Lock);
+  Router.setPeers(std::move(peers), isComplete);
+}
+
 void PacketForwarder::setFresh() {
   std::lock_guard<std::mutex> hold(Lock);
   StaleUntil = {};
   Router.setFresh();
 }
 
+void PacketForwarder::setRelayHandler(OnRelay handler) {
+  std::lock_guard<std::mutex> hold(Lock);
+  RelayHandler = std::move(handler);
+}
+
+void PacketForwarder::handleRelayed(RelayedPacket packet) {
+  {
+    std::lock_guard<std::mutex> hold(Lock);
+    if (Relayed.size() >= MaxRelayedPackets)
+      return;
+    Relayed.push_back(std::move(packet));
+  }
+  wakeUp();
+}
+
 FlowExplanation PacketForwarder::explain(const FlowKey &key) {
   std::lock_guard<std::mutex> hold(Lock);
   return Router.explain(Time.now(), key);
@@ -166,6 +186,13 @@
   Codec.writeToken(out + prefix, to.Token);
 }
 
+void PacketForwarder::relay(DaemonTag to, bool isOriginal,
+                            const uint8_t *packet, size_t n) {
+  const char *bytes = reinterpret_cast<const char *>(packet);
+  if (RelayHandler)
+    RelayHandler(to, {isOriginal, std::string(bytes, n)});
+}
+
 void PacketForwarder::reset(const PacketHeader &head) {
   std::array<uint8_t, PacketCodec::MaxHeaderBytes> packet{};
   size_t n = Codec.writeReset(head, packet.data());
@@ -231,10 +258,7 @@
         Router.handlePacket(now, *head, packet, bytes, *this);
         return;
       }
-      PacketEvent event;
-      event.Kind = PacketEventKind::Dropped;
-      event.Reason = PacketReason::Malformed;
-      TelemetrySink.recordEvent(event);
+      reportMalformed();
     });
     Received += n;
     if (n < PacketSocket::BatchSize) {
@@ -246,6 +270,25 @@
   return now;
 }
 
+void PacketForwarder::handleRelayedPackets(TimePoint now) {
+  for (const RelayedPacket &it : std::exchange(Relayed, {})) {
+    const auto *bytes = reinterpret_cast<const uint8_t *>(it.Bytes.data());
+    ++Received;
+    if (auto head = Codec.decode(bytes, it.Bytes.size()))
+      Router.handleRelayed(now, *head, it.IsOriginal, bytes, it.Bytes.size(),
+                           *this);
+    else
+      reportMalformed();
+  }
+}
+
+void PacketForwarder::reportMalformed() {
+  PacketEvent event;
+  event.Kind = PacketEventKind::Dropped;
+  event.Reason = PacketReason::Malformed;
+  TelemetrySink.recordEvent(event);
+}
+
 void PacketForwarder::updateReachability() {
   bool proved = Router.hasProvenReachability();
   if (ProvenReachability.exchange(proved) == proved)
@@ -285,6 +328,7 @@
       for (const ConnectionAttemptResult &it : ended)
         Router.handleAttemptResult(now, it.Server, it.Result, *this);
       now = receivePackets(now);
+      handleRelayedPackets(now);
       Router.tick(now, *this);
       due = Router.dueAttempts(now);
       updateReachability();
--- a/Balsamrack/Daemon/PacketForwarder.h
+++ b/Balsamrack/Daemon/PacketForwarder.h
@@ -14,6 +14,7 @@
 #include "Balsamrack/Packets/PacketCodec.h"
 #include "Balsamrack/Packets/PacketRouter.h"
 #include "Balsamrack/Packets/PacketSocket.h"
+#include "Balsamrack/Packets/RelayedPacket.h"
 
 namespace balsamrack {
 
@@ -65,6 +66,12 @@
   /// processor time must not use up the grace time.
   static constexpr Duration MaxReleaseTime{200'000};
 
+  /// Maximum number of packets from peers that wait to be handled.
+  static constexpr size_t MaxRelayedPackets = 1024;
+
+  /// Called on the forwarder's thread to send a packet to the peers with the
+  /// tag \p to; must not block or call the forwarder.
+  using OnRelay = std::function<void(DaemonTag to, RelayedPacket packet)>;
   /// Called on the forwarder's thread when it detects that it was paused.
   using OnPause = std::function<void()>;
 
@@ -82,9 +89,16 @@
   void apply(const PacketUpdate &update);
   /// See PacketRouter.
   void setFleet(const FleetPosition &position);
+  /// See PacketRouter.
+  void setPeers(std::vector<DaemonTag> peers, bool isComplete);
   /// Marks the routes as fresh, since updates have arrived after the last
   /// pause.
   void setFresh();
+  /// Sets the handler of packets for peers; until then they are dropped.
+  void setRelayHandler(OnRelay handler);
+  /// Queues a packet that a peer has relayed. Drops it if MaxRelayedPackets
+  /// wait.
+  void handleRelayed(RelayedPacket packet);
   /// See PacketRouter.
   FlowExplanation explain(const FlowKey &key);
   /// See PacketRouter.
@@ -112,6 +126,8 @@
 private:
   void forward(const PacketTarget &to, const uint8_t *packet,
                size_t n) override;
+  void relay(DaemonTag to, bool isOriginal, const uint8_t *packet,
+             size_t n) override;
   void reset(const PacketHeader &head) override;
   void report(const PacketEvent &event) override {
     TelemetrySink.recordEvent(event);
@@ -121,6 +137,8 @@
   void wait();
   /// Returns the time of the last batch, or \p now if there was none.
   TimePoint receivePackets(TimePoint now);
+  void handleRelayedPackets(TimePoint now);
+  void reportMalformed();
   void detectPause(TimePoint now);
   void updateReachability();
   void wakeUp();
@@ -137,7 +155,9 @@
   TimePoint NextMetricsAt;       ///< Used by the thread only.
   bool IsPauseReportDue = false; ///< Used by the thread only.
 
-  std::mutex Lock; ///< Guards Random, Router and StaleUntil.
+  std::mutex Lock; ///< Guards the members up to StaleUntil.
+  OnRelay RelayHandler;
+  std::vector<RelayedPacket> Relayed; ///< In order of arrival.
   SeededRandom Random;
   PacketRouter Router;
   TimePoint StaleUntil; ///< Zero if the routes are fresh.
--- a/Balsamrack/Daemon/PacketOperatorHandler.cpp
+++ b/Balsamrack/Daemon/PacketOperatorHandler.cpp
@@ -80,9 +80,10 @@
   if (!explanation.Known)
     return all;
   json entry = sentence(absl::StrCat(
-      "the flow is ", flowStageName(explanation.Stage), " at ",
-      explanation.HomeServer.str(), "; first seen ",
-      millis(explanation.Age).dump(), " ms ago, last packet ",
+      "the flow is ", flowStageName(explanation.Stage),
+      explanation.HomeServer.empty() ? " to the daemon with its opening"
+                                     : " at " + explanation.HomeServer.str(),
+      "; first seen ", millis(explanation.Age).dump(), " ms ago, last packet ",
       millis(explanation.Idle).dump(), " ms ago, its opening went to ",
       explanation.Tries, " servers from here"));
   entry["stage"] = flowStageName(explanation.Stage);
--- a/Balsamrack/Daemon/PacketTelemetry.cpp
+++ b/Balsamrack/Daemon/PacketTelemetry.cpp
@@ -92,7 +92,8 @@
 bool isOrdinary(PacketEventKind kind) {
   return kind == PacketEventKind::Placed || kind == PacketEventKind::Waited ||
          kind == PacketEventKind::Confirmed ||
-         kind == PacketEventKind::Adopted || kind == PacketEventKind::Ended;
+         kind == PacketEventKind::Adopted || kind == PacketEventKind::Ended ||
+         kind == PacketEventKind::Relayed;
 }
 
 } // namespace
@@ -102,14 +103,13 @@
 
 bool PacketTelemetry::isLogged(const PacketEvent &event) {
   if (!isOrdinary(event.Kind) || event.Kind == PacketEventKind::Placed ||
-      event.Kind == PacketEventKind::Waited)
+      event.Kind == PacketEventKind::Waited ||
+      event.Kind == PacketEventKind::Relayed)
     return true;
   // Other daemons or servers may know another server of these flows.
   if (event.Kind == PacketEventKind::Confirmed &&
-      (event.Tries > 1 || event.Copy > 0))
-    return true;
-  if (event.Kind == PacketEventKind::Adopted &&
-      event.Evidence != ServerEvidence::Token)
+      (event.Tries > 1 || event.Copy > 0 ||
+       event.Evidence == ServerEvidence::Likely))
     return true;
   uint64_t hash =
       combineHash(combineHash(event.Flow.Caller.Ip, event.Flow.Caller.Port),
--- a/Balsamrack/Packets/FlowExplanation.cpp
+++ b/Balsamrack/Packets/FlowExplanation.cpp
@@ -7,7 +7,7 @@
 namespace balsamrack {
 
 const char *flowStageName(FlowStage stage) {
-  static const char *const names[] = {"opening", "open", "ending"};
+  static const char *const names[] = {"opening", "open", "ending", "relayed"};
   return names[static_cast<size_t>(stage)];
 }
 
@@ -27,8 +27,9 @@
   if (const TrackedFlow *flow = Flows.find(key)) {
     explanation.Known = true;
     explanation.Stage = flow->Stage;
-    explanation.HomeServer =
-        Servers.at(flow->Server).Backend.Published->Server.Id;
+    if (flow->Server != NoServerIndex)
+      explanation.HomeServer =
+          Servers.at(flow->Server).Backend.Published->Server.Id;
     explanation.Tries = flow->Tries;
     explanation.Age = now - flow->OpenedAt;
     explanation.Idle = now - flow->LastSeen;
--- a/Balsamrack/Packets/FlowExplanation.h
+++ b/Balsamrack/Packets/FlowExplanation.h
@@ -52,10 +52,10 @@
   bool Known =
       false; ///< The flow is tracked; the next five members are then valid.
   FlowStage Stage = FlowStage::Opening; ///< State of the flow.
-  ServerId HomeServer;                  ///< Destination of its packets.
-  uint32_t Tries = 0; ///< Servers that its opening was sent to.
-  Duration Age{0};    ///< Time since its first packet here.
-  Duration Idle{0};   ///< Time since its last packet.
+  ServerId HomeServer; ///< Destination of its packets; empty for none.
+  uint32_t Tries = 0;  ///< Servers that its opening was sent to.
+  Duration Age{0};     ///< Time since its first packet here.
+  Duration Idle{0};    ///< Time since its last packet.
 
   PacketReason Refused =
       PacketReason::None; ///< Why a new flow would be reset or dropped; None if
--- a/Balsamrack/Packets/OpeningCopies.h
+++ b/Balsamrack/Packets/OpeningCopies.h
@@ -17,6 +17,9 @@
 public:
   /// Number of the last copy.
   static constexpr uint8_t LastCopy = 2;
+  /// Callers retransmit a packet after 200 ms at the earliest, unless the
+  /// server has acknowledged others.
+  static constexpr Duration MinRetransmissionTime{180'000};
 
   /// Records the copy \p head, handled at \p now. \p mayHaveWaited: it may have
   /// waited in the socket, unless \p head tells for how long. Precondition: \p
@@ -45,6 +48,13 @@
   bool areAllHere(TimePoint now) const {
     return hasNoGap() && (highest() == LastCopy || isNewest(now));
   }
+  /// True if no server has got a packet of the flow through another daemon
+  /// before the one that arrives at \p now: until callers can retransmit the
+  /// packet that answers the first copy that is missing here.
+  bool isUnopenedElsewhere(TimePoint now) const {
+    return hasNoGap() && (highest() == LastCopy ||
+                          (!Delayed && isNewest(now - MinRetransmissionTime)));
+  }
   /// The last time at which the caller is known to have had no answer; the
   /// epoch if not known.
   TimePoint unansweredAt() const { return UnansweredAt; }
--- a/Balsamrack/Packets/OpeningTokens.cpp
+++ b/Balsamrack/Packets/OpeningTokens.cpp
@@ -1,37 +1,28 @@
 #include "Balsamrack/Packets/OpeningTokens.h"
 
-#include "Balsamrack/Core/Ids.h"
-
 namespace balsamrack {
 
 namespace {
 
-/// The value 2 was used by earlier versions, whose tokens other daemons follow.
-enum class MaskKind : uint8_t { FirstPacket = 1, FurtherTry = 3 };
-
-uint32_t mask(MaskKind kind, const FlowKey &flow, uint32_t number) {
-  uint64_t ends = combineHash(combineHash(flow.Caller.Ip, flow.Caller.Port),
-                              combineHash(flow.Service.Ip, flow.Service.Port));
-  constexpr int NumberBits = 32;
-  uint64_t use = static_cast<uint64_t>(kind) << NumberBits | number;
-  return static_cast<uint32_t>(combineHash(ends, use));
-}
+/// The upper bits of a token hold the tag of a daemon, the lower ones a hash.
+constexpr int HashBits = 20;
+constexpr uint32_t HashMask = (1U << HashBits) - 1;
+constexpr uint32_t TagCount = 1U << (32 - HashBits);
 
 } // namespace
 
-uint32_t firstPacketToken(uint32_t serverToken, const FlowKey &flow,
-                          uint32_t sequence) {
-  return serverOfFirstPacket(serverToken, flow, sequence + 1);
+DaemonTag DaemonTag::of(const VmId &vm) {
+  return {1 + static_cast<uint32_t>(vm.hash() % (TagCount - 1))};
 }
 
-uint32_t serverOfFirstPacket(uint32_t token, const FlowKey &flow,
-                             uint32_t sequence) {
-  return token ^ mask(MaskKind::FirstPacket, flow, sequence);
+uint32_t openingToken(DaemonTag by, uint32_t salt, const FlowKey &flow,
+                      uint64_t server) {
+  uint64_t ends = combineHash(combineHash(flow.Caller.Ip, flow.Caller.Port),
+                              combineHash(flow.Service.Ip, flow.Service.Port));
+  uint64_t hash = combineHash(combineHash(ends, salt), server);
+  return by.Value << HashBits | (static_cast<uint32_t>(hash) & HashMask);
 }
 
-uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
-                         uint32_t attempt) {
-  return serverToken ^ mask(MaskKind::FurtherTry, flow, attempt);
-}
+DaemonTag daemonOfToken(uint32_t token) { return {token >> HashBits}; }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/OpeningTokens.h
+++ b/Balsamrack/Packets/OpeningTokens.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "Balsamrack/Core/Ids.h"
 #include "Balsamrack/Packets/Packet.h"
 
 namespace balsamrack {
@@ -12,36 +13,37 @@
 // A server returns the token of an opening with its answer, and a caller writes
 // the last token that it received on its packets, even if it ignored the answer
 // that brought it. So the late answer of a second server replaces the token of
-// the server that has the flow. A daemon that does not track the flow would
-// then forward it to a server that never had it, which resets it.
+// the server that has the flow, at any time and on any packet.
 //
 // The plain token of a server is therefore written only on packets of open
 // flows: a caller that returns it has received it from the server that has the
-// flow. An opening carries one of the tokens below, the token of a server
-// combined with a hash; a token that is combined with another hash belongs to
-// no server.
-
-/// Token for an opening that is forwarded to the server with \p serverToken
-/// when it arrives from its caller. It identifies the server on the first
-/// packet after the opening only: on a later one, it may come from a late
-/// answer. \p sequence is that of the opening. Pure, thread-safe.
-uint32_t firstPacketToken(uint32_t serverToken, const FlowKey &flow,
-                          uint32_t sequence);
-
-/// Returns the server's token if \p token is a firstPacketToken() and \p
-/// sequence is that of the first packet after the opening; otherwise a token
-/// that belongs to no server, except by chance. Pure, thread-safe.
-uint32_t serverOfFirstPacket(uint32_t token, const FlowKey &flow,
-                             uint32_t sequence);
-
-/// Token for an opening that is forwarded to the server with \p serverToken
-/// because those before have left it unanswered for some time. Only the daemon
-/// that has sent it finds the server again: either the caller answers that
-/// server, or an earlier one through another daemon, and the caller's packets
-/// are the same in both cases. \p attempt is the number of servers tried
-/// before, plus a number of its own for each daemon. Pure, thread-safe.
-uint32_t furtherTryToken(uint32_t serverToken, const FlowKey &flow,
-                         uint32_t attempt);
+// flow. The token of an opening identifies the daemon that has written it. Only
+// that daemon knows which servers it has offered the opening to and which one
+// the caller has answered; all others relay the packet to it.
+
+/// Identifies a daemon in the tokens of its openings. Several daemons of a
+/// large fleet may share one. Immutable.
+struct DaemonTag {
+  uint32_t Value = 0; ///< From 1 to 4095; zero for none.
+
+  /// The tag of the daemon on \p vm, the same in every run. Thread-safe.
+  static DaemonTag of(const VmId &vm);
+
+  friend bool operator==(DaemonTag a, DaemonTag b) {
+    return a.Value == b.Value;
+  }
+  friend bool operator<(DaemonTag a, DaemonTag b) { return a.Value < b.Value; }
+};
+
+/// Token that the daemon \p by writes on an opening of \p flow that it forwards
+/// to the server with the hash \p server. \p salt differs between the runs of a
+/// daemon. Pure, thread-safe.
+uint32_t openingToken(DaemonTag by, uint32_t salt, const FlowKey &flow,
+                      uint64_t server);
+
+/// The daemon that has written \p token, if that is an openingToken(). Pure,
+/// thread-safe.
+DaemonTag daemonOfToken(uint32_t token);
 
 } // namespace balsamrack
 
--- a/Balsamrack/Packets/PacketEvents.cpp
+++ b/Balsamrack/Packets/PacketEvents.cpp
@@ -7,13 +7,14 @@
       "placed",  "placed-again",   "confirmed",       "adopted",
       "ended",   "abandoned",      "forgotten",       "refused",
       "dropped", "given-up",       "server-silent",   "server-back",
-      "waited",  "server-ejected", "server-returned", "server-differs"};
+      "waited",  "server-ejected", "server-returned", "server-differs",
+      "relayed"};
   return names[static_cast<size_t>(kind)];
 }
 
 const char *serverEvidenceName(ServerEvidence evidence) {
   static const char *const names[ServerEvidences] = {"none", "handshake",
-                                                     "first-packet", "token"};
+                                                     "likely", "token"};
   return names[static_cast<size_t>(evidence)];
 }
 
@@ -24,7 +25,7 @@
       "foreign-token", "no-token",          "not-ready",
       "stale",         "malformed",         "copy",
       "no-room",       "slower-than-peers", "half-of-slots",
-      "first-packet",  "undecided"};
+      "table-full",    "undecided"};
   return names[static_cast<size_t>(reason)];
 }
 
--- a/Balsamrack/Packets/PacketEvents.h
+++ b/Balsamrack/Packets/PacketEvents.h
@@ -31,9 +31,11 @@
   ServerReturned, ///< An ejected server gets new flows again.
   ServerDiffers,  ///< The plain token of a packet names another server than
                   ///< the one that was tracked for its flow, and replaces it.
+  Relayed,        ///< A packet was sent to the daemon that has forwarded the
+                  ///< opening of its flow.
 };
 /// Number of kinds.
-constexpr size_t PacketEventKinds = 16;
+constexpr size_t PacketEventKinds = 17;
 
 /// Reason for an event.
 enum class PacketReason {
@@ -43,9 +45,8 @@
   NoAnswer,     ///< All servers that were tried left the opening unanswered.
   Unreachable,  ///< All servers of the service, or the server of the flow, are
                 ///< unreachable.
-  UnknownToken, ///< The token belongs to no server that is known here, or was
-                ///< written on an opening by another daemon and does not tell
-                ///< which server the caller has answered.
+  UnknownToken, ///< The token belongs to no server that is known here and to
+                ///< no opening of a known daemon.
   ForeignToken, ///< The token belongs to a server that the route never allowed.
   NoToken,      ///< A packet without a token on an unknown flow.
   NotReady,     ///< No published state has been received yet.
@@ -55,20 +56,20 @@
   NoRoom,       ///< The servers have more work than they can do in time.
   SlowerThanPeers, ///< Its requests take three times as long as its peers'.
   HalfOfSlots,     ///< It gets new flows for half of its slots at first.
-  FirstPacket, ///< Adopted: its opening went through another daemon, and this
-               ///< is the first packet after it.
-  Undecided,   ///< Several servers may have the flow, and its token does not
-               ///< tell which.
+  TableFull,       ///< The flow table is full of handshakes.
+  Undecided,       ///< Several servers may have the flow, and its token does
+                   ///< not tell which.
 };
 /// Number of reasons.
 constexpr size_t PacketReasons = 17;
 
 /// How the server of a flow was found.
 enum class ServerEvidence : uint8_t {
-  None,        ///< Not known: the opening was sent to it.
-  Handshake,   ///< The caller answered it after an opening that was sent here.
-  FirstPacket, ///< The token of the first packet after the opening.
-  Token,       ///< Its plain token, which it has returned on the open flow.
+  None,      ///< Not known: the opening was sent to it.
+  Handshake, ///< The caller answered it after an opening that was sent here.
+  Likely,    ///< The caller answered one of several servers, and no packet has
+             ///< reached any of them since.
+  Token,     ///< Its plain token, which it has returned on the open flow.
 };
 /// Number of elements of ServerEvidence.
 constexpr size_t ServerEvidences = 4;
--- a/Balsamrack/Packets/PacketFailures.cpp
+++ b/Balsamrack/Packets/PacketFailures.cpp
@@ -28,8 +28,8 @@
   // repeated; they are still served if the network recovers in time.
   if (head.DataBytes == 0)
     return false;
-  // The first packet's token may come from the late answer of another server.
-  if (flow.Evidence == ServerEvidence::FirstPacket)
+  // Another server may have the flow.
+  if (flow.Evidence == ServerEvidence::Likely)
     return false;
   if (Servers.at(flow.Server).Backend.Presence == ServerPresence::Replaced)
     return true;
--- a/Balsamrack/Packets/PacketFlowTable.cpp
+++ b/Balsamrack/Packets/PacketFlowTable.cpp
@@ -31,12 +31,6 @@
   return ahead < SequenceWindow || -ahead < SequenceWindow;
 }
 
-uint8_t TrackedFlow::indexOfTried(ServerIndex server) const {
-  assert(hasTried(server));
-  return static_cast<uint8_t>(std::find(Tried.begin(), Tried.end(), server) -
-                              Tried.begin());
-}
-
 TrackedFlow *PacketFlowTable::find(const FlowKey &key) {
   auto it = Flows.find(key);
   return it == Flows.end() ? nullptr : &it->second;
@@ -44,9 +38,7 @@
 
 TrackedFlow *PacketFlowTable::add(TimePoint now, const FlowKey &key) {
   assert(!find(key));
-  // Timers of erased flows remain until they expire, so their number is bounded
-  // too.
-  if (Flows.size() >= MaxFlows || Timers.size() >= MaxFlows)
+  if (isFull())
     return nullptr;
   TrackedFlow &flow = Flows[key];
   flow.OpenedAt = now;
@@ -55,12 +47,29 @@
   return &flow;
 }
 
-void PacketFlowTable::eraseFlowsAt(
-    ServerIndex server, const std::function<void(TrackedFlow &)> &onErase) {
+void PacketFlowTable::makeRoom(TimePoint now, const RemovalCallback &onRemove) {
+  constexpr int MaxChecks = 8;
+  for (int i = 0; i < MaxChecks && isFull() && !Timers.empty(); ++i) {
+    Timer timer = Timers.top();
+    Timers.pop();
+    auto it = Flows.find(timer.Key);
+    if (it == Flows.end())
+      continue;
+    if (it->second.Stage == FlowStage::Opening) {
+      Timers.push({std::max(timer.At, now) + MinTimerInterval, timer.Key});
+      continue;
+    }
+    onRemove(it->second);
+    Flows.erase(it);
+  }
+}
+
+void PacketFlowTable::eraseFlowsAt(ServerIndex server,
+                                   const RemovalCallback &onRemove) {
   absl::erase_if(Flows, [&](auto &it) {
     bool isThere = it.second.Server == server;
     if (isThere)
-      onErase(it.second);
+      onRemove(it.second);
     return isThere;
   });
 }
--- a/Balsamrack/Packets/PacketFlowTable.h
+++ b/Balsamrack/Packets/PacketFlowTable.h
@@ -28,6 +28,8 @@
            ///< caller has answered, if any.
   Open,    ///< The flow is open at TrackedFlow::Server.
   Closing, ///< The caller has closed or reset the flow.
+  Relayed, ///< The caller has answered a server that only the daemon with the
+           ///< opening knows. TrackedFlow::Server is none.
 };
 
 /// State of one tracked flow.
@@ -38,9 +40,7 @@
   static constexpr size_t MaxTries = 4;
 
   std::array<ServerIndex, MaxTries> Tried{}; ///< The first Tries are valid.
-  uint8_t Tries = 0;              ///< Servers that the opening was sent to.
-  uint8_t LastTriedOnArrival = 0; ///< Index in Tried of the server that got
-                                  ///< the last copy as it arrived here.
+  uint8_t Tries = 0; ///< Servers that the opening was sent to.
   FlowStage Stage = FlowStage::Opening; ///< State of the flow.
   bool IsRepeated = false; ///< Tried holds the servers of a further round only.
   bool IsAnswered = false; ///< A packet has shown that the caller has answered
@@ -71,26 +71,29 @@
   /// True when \p head can belong to this flow, by its sequence number. A
   /// caller that uses its port again starts from another, random number.
   bool matches(const PacketHeader &head) const;
-  /// Index of \p server in Tried. Precondition: hasTried(\p server).
-  uint8_t indexOfTried(ServerIndex server) const;
 };
 
-/// Bounded table of flows. A flow that is not in it is routed by its token, so
-/// removing one only loses its request count. Not thread-safe.
+/// Bounded table of flows. An open flow that is not in it is routed by its
+/// token, so removing one only loses its request count. Not thread-safe.
 class PacketFlowTable {
 public:
   explicit PacketFlowTable(size_t maxFlows) : MaxFlows(maxFlows) {}
 
   /// The flow, or null.
   TrackedFlow *find(const FlowKey &key);
+  /// Called for a flow that is about to be removed.
+  using RemovalCallback = std::function<void(TrackedFlow &flow)>;
   /// Adds a flow; null when the table is full. Precondition: it is not in the
   /// table.
   TrackedFlow *add(TimePoint now, const FlowKey &key);
+  /// Makes room for one flow if the table is full: removes one that is not
+  /// being opened and calls \p onRemove before. There is none if all that are
+  /// checked are being opened.
+  void makeRoom(TimePoint now, const RemovalCallback &onRemove);
   /// Removes a flow.
   void erase(const FlowKey &key) { Flows.erase(key); }
   /// Removes the flows at \p server; calls \p onErase for each before.
-  void eraseFlowsAt(ServerIndex server,
-                    const std::function<void(TrackedFlow &)> &onErase);
+  void eraseFlowsAt(ServerIndex server, const RemovalCallback &onRemove);
   /// Number of flows.
   size_t size() const { return Flows.size(); }
 
@@ -115,6 +118,12 @@
       return a.At > b.At;
     }
   };
+  bool isFull() const {
+    // Timers of erased flows remain until they expire, so their number is
+    // bounded too.
+    return Flows.size() >= MaxFlows || Timers.size() >= MaxFlows;
+  }
+
   /// Shortest time between two checks of a flow.
   static constexpr Duration MinTimerInterval{100'000};
 
--- a/Balsamrack/Packets/PacketOpenings.cpp
+++ b/Balsamrack/Packets/PacketOpenings.cpp
@@ -146,13 +146,10 @@
     flow.Tried[0] = flow.Server;
     flow.Tries = 1;
     flow.IsRepeated = true;
-    flow.LastTriedOnArrival = 0;
   }
-  if (overdue && sendToAnotherServer(now, flow, OpeningCause::Arrival, head,
-                                     bytes, n, out))
+  if (overdue && sendToAnotherServer(now, flow, head, bytes, n, out))
     return;
-  sendOpening(now, flow, flow.Server, OpeningCause::Arrival, head, bytes, n,
-              out);
+  sendOpening(now, flow, flow.Server, head, bytes, n, out);
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Packets/PacketPlacement.cpp
+++ b/Balsamrack/Packets/PacketPlacement.cpp
@@ -84,10 +84,9 @@
       refuse(head, PacketReason::Unreachable, out);
     return;
   }
-  TrackedFlow spare;
   auto to = chooseProbe(now, *service, head);
   if (!to)
-    to = chooseServer(now, *service, spare);
+    to = chooseServer(now, *service, TrackedFlow());
   if (!to && !HasAllServers) {
     // Servers that are not known yet may take the caller's next copy.
     out.report(makeEvent(PacketEventKind::Dropped, PacketReason::NotReady,
@@ -98,20 +97,23 @@
     refuse(head, PacketReason::NoServer, out);
     return;
   }
+  Flows.makeRoom(now, [this](TrackedFlow &it) { uncountRequest(it); });
   TrackedFlow *flow = Flows.add(now, head.Flow);
-  if (!flow)
-    flow = &spare;
-  flow->OpenedAt = now;
+  if (!flow && copies.areAllHere(now)) {
+    refuse(head, PacketReason::TableFull, out);
+    return;
+  }
+  if (!flow) {
+    out.report(makeEvent(PacketEventKind::Dropped, PacketReason::TableFull,
+                         head.Flow, NoServerIndex));
+    return;
+  }
   flow->FirstSequence = head.Sequence;
   flow->Copies = copies;
   // No server has the opening yet if no other daemon has it.
   flow->UnansweredAt = copies.areAllHere(now) ? now : copies.unansweredAt();
-  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server),
-              OpeningCause::Arrival, head, bytes, n, out);
-  // A flow that does not fit in the table is not counted, since its count would
-  // never be removed.
-  if (flow == &spare)
-    uncountRequest(spare);
+  sendOpening(now, *flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
 }
 
 bool PacketRouter::isServiceUnreachable(const ServiceId &service) {
@@ -192,7 +194,6 @@
 }
 
 bool PacketRouter::sendToAnotherServer(TimePoint now, TrackedFlow &flow,
-                                       OpeningCause cause,
                                        const PacketHeader &head,
                                        const uint8_t *bytes, size_t n,
                                        PacketSink &out) {
@@ -204,28 +205,24 @@
   auto to = chooseServer(now, *service, flow);
   if (!to)
     return false;
-  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), cause, head,
-              bytes, n, out);
+  sendOpening(now, flow, static_cast<ServerIndex>(to->Server), head, bytes, n,
+              out);
   return true;
 }
 
 void PacketRouter::sendOpening(TimePoint now, TrackedFlow &flow, ServerIndex to,
-                               OpeningCause cause, const PacketHeader &head,
-                               const uint8_t *bytes, size_t n,
-                               PacketSink &out) {
+                               const PacketHeader &head, const uint8_t *bytes,
+                               size_t n, PacketSink &out) {
   bool again = flow.Tries > 0;
   bool copy = flow.hasTried(to);
-  uint32_t token = openingToken(flow, head, to, cause);
   countRequest(now, flow, to);
   if (!copy) {
     flow.Tried[flow.Tries++] = to;
     const ServiceId &service = Servers.at(to).Backend.Published->Server.Service;
     Servers.recordNewFlow(now, to, coldFlowsPerSecond(service));
   }
-  if (cause == OpeningCause::Arrival)
-    flow.LastTriedOnArrival = flow.indexOfTried(to);
   flow.LastSent = now;
-  forward(to, token, bytes, n, out);
+  forward(to, openingTokenFor(head.Flow, to), bytes, n, out);
   PacketEvent event =
       makeEvent(again ? PacketEventKind::PlacedAgain : PacketEventKind::Placed,
                 copy ? PacketReason::Copy : PacketReason::None, head.Flow, to);
--- a/Balsamrack/Packets/PacketRouter.cpp
+++ b/Balsamrack/Packets/PacketRouter.cpp
@@ -46,6 +46,12 @@
     updateShares();
 }
 
+void PacketRouter::setPeers(std::vector<DaemonTag> peers, bool isComplete) {
+  assert(std::is_sorted(peers.begin(), peers.end()));
+  Peers = std::move(peers);
+  HasAllPeers = isComplete;
+}
+
 void PacketRouter::setFleet(const FleetPosition &position) {
   assert(position.Index < position.Daemons);
   assert(position.DomainIndex < position.DomainDaemons);
@@ -71,10 +77,23 @@
   if (head.Opens)
     handleOpening(now, head, bytes, n, out);
   else
-    handleFlowPacket(now, head, bytes, n, out);
+    handleFlowPacket(now, head, {}, bytes, n, out);
+}
+
+void PacketRouter::handleRelayed(TimePoint now, const PacketHeader &head,
+                                 bool isOriginal, const uint8_t *bytes,
+                                 size_t n, PacketSink &out) {
+  recordCall(now);
+  if (!Routes || head.Opens) {
+    out.report(makeEvent(PacketEventKind::Dropped, PacketReason::NotReady,
+                         head.Flow, NoServerIndex));
+    return;
+  }
+  handleFlowPacket(now, head, {true, isOriginal}, bytes, n, out);
 }
 
 void PacketRouter::handleFlowPacket(TimePoint now, const PacketHeader &head,
+                                    const PacketPath &path,
                                     const uint8_t *bytes, size_t n,
                                     PacketSink &out) {
   // The caller has answered a server; its opening must not reach another one.
@@ -87,25 +106,40 @@
     flow = nullptr;
   }
   if (flow && flow->Stage == FlowStage::Opening && !head.Resets) {
-    if (!confirm(now, *flow, head, out)) {
-      // If it has overtaken the first packet, that one follows at once.
-      bool isFirst = head.Sequence == flow->FirstSequence + 1;
-      if (isFirst || !Overtaking.add(now, head, bytes, n))
-        reportUndecided(head, out);
+    handleAnswer(now, *flow, head, path, bytes, n, out);
+    return;
+  }
+  if (flow && flow->Stage != FlowStage::Relayed) {
+    followToken(now, *flow, head, out);
+  } else {
+    TokenMatch match = resolveToken(head);
+    if (match.Server == NoServerIndex) {
+      relayOrDrop(now, head, path, match.Reason, bytes, n, out);
       return;
     }
-    forwardOnFlow(now, *flow, true, head, bytes, n, out);
+    flow = adopt(now, head, match, spare, out);
+  }
+  forwardOnFlow(now, *flow, flow != &spare, head, bytes, n, out);
+}
+
+void PacketRouter::handleAnswer(TimePoint now, TrackedFlow &flow,
+                                const PacketHeader &head,
+                                const PacketPath &path, const uint8_t *bytes,
+                                size_t n, PacketSink &out) {
+  if (confirm(now, flow, head, path, out)) {
+    forwardOnFlow(now, flow, true, head, bytes, n, out);
     for (const OvertakingPackets::Item &it : Overtaking.take(head.Flow))
-      forwardOnFlow(now, *flow, true, it.Head, it.Bytes.data(), it.Bytes.size(),
+      forwardOnFlow(now, flow, true, it.Head, it.Bytes.data(), it.Bytes.size(),
                     out);
     return;
   }
-  if (flow)
-    followToken(now, *flow, head, out);
-  else
-    flow = adopt(now, head, spare, out);
-  if (flow)
-    forwardOnFlow(now, *flow, flow != &spare, head, bytes, n, out);
+  bool isFirst = head.Sequence == flow.FirstSequence + 1;
+  PacketPath on{path.IsRelayed, isFirst && isOriginal(now, flow, path)};
+  if (relay(head, on, bytes, n, out))
+    return;
+  // If it has overtaken the first packet, that one follows at once.
+  if (isFirst || !Overtaking.add(now, head, bytes, n))
+    reportUndecided(head, out);
 }
 
 void PacketRouter::reportUndecided(const PacketHeader &head,
@@ -173,10 +207,11 @@
 }
 
 bool PacketRouter::confirm(TimePoint now, TrackedFlow &flow,
-                           const PacketHeader &head, PacketSink &out) {
+                           const PacketHeader &head, const PacketPath &path,
+                           PacketSink &out) {
   // Further servers would answer a caller that ignores them.
   flow.IsAnswered = true;
-  TokenMatch home = answeredServer(now, flow, head);
+  TokenMatch home = answeredServer(now, flow, head, path);
   if (home.Server == NoServerIndex) {
     uncountRequest(flow);
     return false;
@@ -184,7 +219,7 @@
   countRequest(now, flow, home.Server);
   flow.Stage = FlowStage::Open;
   flow.LastSequence = head.Sequence;
-  if (flow.Tries == 1 && flow.Copies.count() == 1)
+  if (flow.Tries == 1 && flow.Copies.count() == 1 && !path.IsRelayed)
     Timeout.addSample(now - flow.LastSent);
   flow.Evidence = home.Evidence;
   PacketEvent event = makeEvent(PacketEventKind::Confirmed, PacketReason::None,
@@ -237,11 +272,14 @@
   Flows.processTimers(
       now,
       [this](const TrackedFlow &flow) {
-        return Servers.serviceOf(flow.Server).requestIdleLimit();
+        return flow.Stage == FlowStage::Relayed
+                   ? Settings.OpeningRetention
+                   : Servers.serviceOf(flow.Server).requestIdleLimit();
       },
       [&](const TrackedFlow &flow) {
         switch (flow.Stage) {
         case FlowStage::Opening:
+        case FlowStage::Relayed:
           return Settings.OpeningRetention;
         case FlowStage::Closing:
           return Settings.ClosingRetention;
@@ -283,10 +321,9 @@
     reportSilentServer(server, waiting.Opening.Head.Flow, out);
   const BufferedOpening &opening = waiting.Opening;
   // Once a copy is missing, it may have opened the flow through another daemon.
-  bool sent =
-      opening.Bytes > 0 && !isOutdated(now, flow->Copies) &&
-      sendToAnotherServer(now, *flow, OpeningCause::Timeout, opening.Head,
-                          opening.Packet.data(), opening.Bytes, out);
+  bool sent = opening.Bytes > 0 && !isOutdated(now, flow->Copies) &&
+              sendToAnotherServer(now, *flow, opening.Head,
+                                  opening.Packet.data(), opening.Bytes, out);
   if (sent)
     return;
   // The opening may have been answered through another daemon; otherwise no
--- a/Balsamrack/Packets/PacketRouter.h
+++ b/Balsamrack/Packets/PacketRouter.h
@@ -54,8 +54,9 @@
       1'500'000}; ///< Time until the fabric routes callers to other daemons: it
                   ///< checks readiness twice a second and requires two failed
                   ///< checks.
-  uint32_t TokenSalt = 0;             ///< A number of this daemon's own.
-  LoadSettings Load;                  ///< Optional decisions under load.
+  DaemonTag Self; ///< Identifies this daemon in its tokens.
+  uint32_t TokenSalt = 0; ///< Differs between the runs of this daemon.
+  LoadSettings Load;      ///< Optional decisions under load.
   OpeningAdmissionSettings Admission; ///< Used if Load.Admission is set.
   FailureDetectorSettings Detector;   ///< Settings of the failure detector.
 };
@@ -97,12 +98,13 @@
 /// at the server that the caller answers, so no request can run twice. The
 /// token on an opening differs from that of its server; see OpeningTokens.h.
 ///
-/// A packet of a flow is forwarded only to a server that is known to have the
-/// flow. A plain token proves it, and replaces what this daemon tracks. So does
-/// a handshake of which this daemon got all copies and that it offered to one
-/// server only. The tokens of openings prove it on the first packet. In all
-/// other cases the packet is dropped, since another server would reset the
-/// flow.
+/// A packet of an open flow is forwarded only to a server that is known to have
+/// the flow. A plain token proves it, and replaces what this daemon tracks. So
+/// does a handshake of which this daemon got all copies and that it offered to
+/// one server only, and the token of one of its openings on a first packet that
+/// is no retransmission. A packet with the token of another daemon's opening is
+/// relayed to that daemon. In all other cases the packet is dropped, since
+/// another server would reset the flow.
 class PacketRouter {
 public:
   /// Precondition: \p random outlives the router.
@@ -113,6 +115,10 @@
   void apply(const PacketUpdate &update);
   /// Sets the place of this daemon in the fleet.
   void setFleet(const FleetPosition &position);
+  /// Sets the tags of all other daemons that may be alive, including those that
+  /// are about to leave. \p isComplete: false shortly after a start, when some
+  /// are not known yet. Precondition: in ascending order.
+  void setPeers(std::vector<DaemonTag> peers, bool isComplete);
   /// Marks the routes as possibly outdated: openings wait for setFresh().
   void setStale() { Stale = true; }
   /// Marks the routes as current again.
@@ -126,6 +132,10 @@
   /// Handles one packet of \p n bytes from a caller.
   void handlePacket(TimePoint now, const PacketHeader &head,
                     const uint8_t *bytes, size_t n, PacketSink &out);
+  /// Handles one packet of \p n bytes that a peer has relayed; see
+  /// PacketSink::relay().
+  void handleRelayed(TimePoint now, const PacketHeader &head, bool isOriginal,
+                     const uint8_t *bytes, size_t n, PacketSink &out);
   /// Handles expired timers. Due by nextWakeup(), harmless at other times.
   void tick(TimePoint now, PacketSink &out);
   /// When tick() is due; the far future for never. Does not include expiry of
@@ -200,12 +210,6 @@
     BufferedOpening Opening; ///< The packet; empty when it was too long.
   };
 
-  /// Why an opening is sent to a server.
-  enum class OpeningCause {
-    Arrival, ///< It, or a copy of it, has arrived from its caller.
-    Timeout, ///< The server before has left it unanswered.
-  };
-
   /// The server that a token identifies.
   struct TokenMatch {
     ServerIndex Server = NoServerIndex; ///< The server; none if not found.
@@ -213,6 +217,12 @@
     ServerEvidence Evidence = ServerEvidence::None; ///< How it was found.
   };
 
+  /// How a packet of a flow has come here.
+  struct PacketPath {
+    bool IsRelayed = false;  ///< Through a peer; it is not relayed again.
+    bool IsOriginal = false; ///< It is known to be no retransmission.
+  };
+
   /// A request that its caller retransmitted because the server has not
   /// acknowledged it.
   struct RetransmittedRequest {
@@ -267,8 +277,11 @@
                          const PacketHeader &head, const uint8_t *bytes,
                          size_t n, PacketSink &out);
   void handleFlowPacket(TimePoint now, const PacketHeader &head,
-                        const uint8_t *bytes, size_t n, PacketSink &out);
-
+                        const PacketPath &path, const uint8_t *bytes, size_t n,
+                        PacketSink &out);
+  void handleAnswer(TimePoint now, TrackedFlow &flow, const PacketHeader &head,
+                    const PacketPath &path, const uint8_t *bytes, size_t n,
+                    PacketSink &out);
   void forwardOnFlow(TimePoint now, TrackedFlow &flow, bool isTracked,
                      const PacketHeader &head, const uint8_t *bytes, size_t n,
                      PacketSink &out);
@@ -276,21 +289,27 @@
   bool isRequestLost(const TrackedFlow &flow, const PacketHeader &head) const;
   void resetFlow(TrackedFlow &flow, const PacketHeader &head, PacketSink &out);
   void resetLostRequests(PacketSink &out);
+  bool relay(const PacketHeader &head, const PacketPath &path,
+             const uint8_t *bytes, size_t n, PacketSink &out);
+  void relayOrDrop(TimePoint now, const PacketHeader &head,
+                   const PacketPath &path, PacketReason why,
+                   const uint8_t *bytes, size_t n, PacketSink &out);
   TrackedFlow *adopt(TimePoint now, const PacketHeader &head,
-                     TrackedFlow &spare, PacketSink &out);
+                     const TokenMatch &match, TrackedFlow &spare,
+                     PacketSink &out);
   bool confirm(TimePoint now, TrackedFlow &flow, const PacketHeader &head,
-               PacketSink &out);
+               const PacketPath &path, PacketSink &out);
   void processDueOpenings(TimePoint now, std::deque<UnansweredOpening> &waiting,
                           PacketSink &out);
   bool isUnanswered(const UnansweredOpening &waiting);
   void handleUnanswered(TimePoint now, const UnansweredOpening &waiting,
                         PacketSink &out);
-  bool sendToAnotherServer(TimePoint now, TrackedFlow &flow, OpeningCause cause,
+  bool sendToAnotherServer(TimePoint now, TrackedFlow &flow,
                            const PacketHeader &head, const uint8_t *bytes,
                            size_t n, PacketSink &out);
   void sendOpening(TimePoint now, TrackedFlow &flow, ServerIndex to,
-                   OpeningCause cause, const PacketHeader &head,
-                   const uint8_t *bytes, size_t n, PacketSink &out);
+                   const PacketHeader &head, const uint8_t *bytes, size_t n,
+                   PacketSink &out);
   std::optional<OpeningChoice> chooseServer(TimePoint now,
                                             const ServiceId &service,
                                             const TrackedFlow &flow);
@@ -304,14 +323,16 @@
   bool hasTriedDomain(const TrackedFlow &flow, const DomainId &domain) const;
   const ServiceId *serviceFor(const FlowKey &key) const;
   TokenMatch resolveToken(const PacketHeader &head) const;
-  std::optional<uint8_t> attemptOfToken(const TrackedFlow &flow,
-                                        const PacketHeader &head) const;
+  ServerIndex serverOfOpening(const TrackedFlow &flow,
+                              const PacketHeader &head) const;
   PacketReason findAllowed(uint32_t token, const RouteEntry &route,
                            ServerIndex &found) const;
   TokenMatch answeredServer(TimePoint now, const TrackedFlow &flow,
-                            const PacketHeader &head) const;
-  uint32_t openingToken(const TrackedFlow &flow, const PacketHeader &head,
-                        ServerIndex to, OpeningCause cause) const;
+                            const PacketHeader &head,
+                            const PacketPath &path) const;
+  static bool isOriginal(TimePoint now, const TrackedFlow &flow,
+                         const PacketPath &path);
+  uint32_t openingTokenFor(const FlowKey &flow, ServerIndex server) const;
   bool isServiceUnreachable(const ServiceId &service);
   bool anyServerAcceptsNewFlows() const;
   bool ownDomainAcceptsNewFlows() const;
@@ -393,6 +414,8 @@
   std::vector<OpeningCandidate> Candidates;  ///< Reused to avoid allocations.
   PacketSpeeds Speeds;                       ///< See LoadSettings::Speeds.
   FleetPosition Fleet;                       ///< See setFleet().
+  std::vector<DaemonTag> Peers;              ///< See setPeers().
+  bool HasAllPeers = true;                   ///< See setPeers().
   std::map<ServiceId, DomainDemand> Demands; ///< Empty if not turned on.
   TimePoint NextDemandUpdate;                ///< When updateDemand() is due.
   size_t NextLoadReport = 0;     ///< Offset of the next message's reports.
--- a/Balsamrack/Packets/PacketSink.h
+++ b/Balsamrack/Packets/PacketSink.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "Balsamrack/Packets/OpeningTokens.h"
 #include "Balsamrack/Packets/PacketEvents.h"
 
 namespace balsamrack {
@@ -23,6 +24,11 @@
   /// Forwards a packet of \p n bytes; only its token may be changed.
   virtual void forward(const PacketTarget &to, const uint8_t *packet,
                        size_t n) = 0;
+  /// Sends a packet of \p n bytes, unchanged, to the other daemons with the tag
+  /// \p to, which pass it to PacketRouter::handleRelayed(). \p isOriginal: it
+  /// is known to be no retransmission.
+  virtual void relay(DaemonTag to, bool isOriginal, const uint8_t *packet,
+                     size_t n) = 0;
   /// Sends a reset in reply to the packet with \p head.
   virtual void reset(const PacketHeader &head) = 0;
   /// Records an event.
--- a/Balsamrack/Packets/PacketTokens.cpp
+++ b/Balsamrack/Packets/PacketTokens.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cassert>
 
 #include "Balsamrack/Packets/OpeningTokens.h"
 #include "Balsamrack/Packets/PacketRouter.h"
@@ -12,9 +13,6 @@
 
 /// More than the time between two calls while nothing happens.
 constexpr Duration MaxIdleInterval{300'000};
-/// Callers retransmit a packet after 200 ms at the earliest, unless the server
-/// has acknowledged others.
-constexpr Duration MinRetransmissionTime{180'000};
 
 } // namespace
 
@@ -34,23 +32,26 @@
   return flow.matches(first);
 }
 
-uint32_t PacketRouter::openingToken(const TrackedFlow &flow,
-                                    const PacketHeader &head, ServerIndex to,
-                                    OpeningCause cause) const {
-  uint32_t server = Servers.at(to).Backend.Token;
-  if (cause == OpeningCause::Timeout)
-    return furtherTryToken(server, head.Flow, Settings.TokenSalt + flow.Tries);
-  return firstPacketToken(server, head.Flow, head.Sequence);
+uint32_t PacketRouter::openingTokenFor(const FlowKey &flow,
+                                       ServerIndex server) const {
+  const RoutedBackend &is = Servers.at(server).Backend;
+  uint64_t hash = combineHash(is.Published->Tag, is.Token);
+  uint32_t salt = Settings.TokenSalt;
+  uint32_t token = openingToken(Settings.Self, salt, flow, hash);
+  // Must not be taken for the plain token of a server.
+  while (Servers.byToken(token))
+    token = openingToken(Settings.Self, ++salt, flow, hash);
+  return token;
 }
 
-std::optional<uint8_t>
-PacketRouter::attemptOfToken(const TrackedFlow &flow,
-                             const PacketHeader &head) const {
-  for (uint8_t i = 1; i < flow.Tries; ++i)
-    if (furtherTryToken(Servers.at(flow.Tried[i]).Backend.Token, head.Flow,
-                        Settings.TokenSalt + i) == head.Token)
-      return i;
-  return std::nullopt;
+ServerIndex PacketRouter::serverOfOpening(const TrackedFlow &flow,
+                                          const PacketHeader &head) const {
+  if (!(daemonOfToken(head.Token) == Settings.Self))
+    return NoServerIndex;
+  for (uint8_t i = 0; i < flow.Tries; ++i)
+    if (openingTokenFor(head.Flow, flow.Tried[i]) == head.Token)
+      return flow.Tried[i];
+  return NoServerIndex;
 }
 
 PacketReason PacketRouter::findAllowed(uint32_t token, const RouteEntry &route,
@@ -82,26 +83,49 @@
     match.Reason = findAllowed(head.Token, route->second, match.Server);
   if (match.Reason == PacketReason::None)
     match.Evidence = ServerEvidence::Token;
-  if (match.Reason != PacketReason::UnknownToken)
-    return match;
-  // The token may have been written on the opening.
-  uint32_t token = serverOfFirstPacket(head.Token, head.Flow, head.Sequence);
-  if (findAllowed(token, route->second, match.Server) == PacketReason::None)
-    match = {match.Server, PacketReason::None, ServerEvidence::FirstPacket};
   return match;
 }
 
+bool PacketRouter::relay(const PacketHeader &head, const PacketPath &path,
+                         const uint8_t *bytes, size_t n, PacketSink &out) {
+  DaemonTag to = daemonOfToken(head.Token);
+  if (path.IsRelayed || to == Settings.Self)
+    return false;
+  if (HasAllPeers && !std::binary_search(Peers.begin(), Peers.end(), to))
+    return false;
+  out.relay(to, path.IsOriginal, bytes, n);
+  out.report(makeEvent(PacketEventKind::Relayed, PacketReason::None, head.Flow,
+                       NoServerIndex));
+  return true;
+}
+
+void PacketRouter::relayOrDrop(TimePoint now, const PacketHeader &head,
+                               const PacketPath &path, PacketReason why,
+                               const uint8_t *bytes, size_t n,
+                               PacketSink &out) {
+  // Never reset: the flow may be open at a live server that cannot be
+  // identified here yet, and the caller retransmits.
+  if (why != PacketReason::UnknownToken || !relay(head, path, bytes, n, out))
+    out.report(
+        makeEvent(PacketEventKind::Dropped, why, head.Flow, NoServerIndex));
+  if (why != PacketReason::UnknownToken)
+    return;
+  // A delayed copy of the opening must not open the flow again.
+  TrackedFlow *flow = Flows.find(head.Flow);
+  if (!flow)
+    flow = Flows.add(now, head.Flow);
+  if (!flow)
+    return;
+  flow->Stage = FlowStage::Relayed;
+  flow->LastSeen = now;
+  flow->LastSequence = head.Sequence;
+}
+
 TrackedFlow *PacketRouter::adopt(TimePoint now, const PacketHeader &head,
-                                 TrackedFlow &spare, PacketSink &out) {
-  TokenMatch match = resolveToken(head);
-  if (match.Server == NoServerIndex) {
-    // Drop the packet instead of sending a reset: the flow may be open at a
-    // live server that cannot be identified here yet, and the caller
-    // retransmits.
-    out.report(makeEvent(PacketEventKind::Dropped, match.Reason, head.Flow,
-                         NoServerIndex));
-    return nullptr;
-  }
+                                 const TokenMatch &match, TrackedFlow &spare,
+                                 PacketSink &out) {
+  assert(match.Evidence == ServerEvidence::Token);
+  Flows.erase(head.Flow);
   TrackedFlow *flow = Flows.add(now, head.Flow);
   if (!flow)
     flow = &spare;
@@ -110,14 +134,8 @@
   flow->Evidence = match.Evidence;
   flow->OpenedAt = now;
   flow->LastSequence = head.Sequence;
-  // Recognizes a late copy of the opening.
-  if (match.Evidence == ServerEvidence::FirstPacket)
-    flow->FirstSequence = head.Sequence - 1;
-  PacketReason why = match.Evidence == ServerEvidence::FirstPacket
-                         ? PacketReason::FirstPacket
-                         : PacketReason::None;
-  PacketEvent event =
-      makeEvent(PacketEventKind::Adopted, why, head.Flow, match.Server);
+  PacketEvent event = makeEvent(PacketEventKind::Adopted, PacketReason::None,
+                                head.Flow, match.Server);
   event.Evidence = flow->Evidence;
   out.report(event);
   return flow;
@@ -148,36 +166,43 @@
 
 PacketRouter::TokenMatch
 PacketRouter::answeredServer(TimePoint now, const TrackedFlow &flow,
-                             const PacketHeader &head) const {
-  TokenMatch match = resolveToken(head);
-  if (match.Evidence == ServerEvidence::Token)
-    return match;
+                             const PacketHeader &head,
+                             const PacketPath &path) const {
+  ServerIndex named = serverOfOpening(flow, head);
+  if (named == NoServerIndex) {
+    TokenMatch match = resolveToken(head);
+    if (match.Evidence == ServerEvidence::Token)
+      return match;
+  }
   if (flow.Tries == 1 && !flow.IsRepeated && flow.Copies.areAllHere(now))
     return {flow.Server, PacketReason::None, ServerEvidence::Handshake};
   bool isFirst = head.Sequence == flow.FirstSequence + 1;
-  TokenMatch undecided{NoServerIndex, PacketReason::Undecided,
-                       ServerEvidence::None};
-  bool isRecent = now - flow.UnansweredAt < MinRetransmissionTime;
+  if (!isFirst || named == NoServerIndex)
+    return {NoServerIndex, PacketReason::Undecided, ServerEvidence::None};
   // Unless it is a retransmission, the first packet has the token of the server
   // that the caller has answered.
-  if (isFirst && isRecent && match.Server != NoServerIndex)
-    return {match.Server, PacketReason::None, ServerEvidence::Handshake};
-  if (isFirst && match.Server != NoServerIndex)
-    return flow.hasTried(match.Server) ? match : undecided;
-  auto attempt = attemptOfToken(flow, head);
-  if (!attempt)
-    return undecided;
-  if (isFirst && isRecent)
-    return {flow.Tried[*attempt], PacketReason::None,
-            ServerEvidence::Handshake};
-  // Only this daemon recognizes the tokens of further tries, so if the flow is
-  // open it was opened through another daemon, at the server of the first try.
-  bool isOriginalOnly = flow.Copies.count() == 1 &&
-                        flow.Copies.highest() == 0 &&
-                        !flow.Copies.wereDelayed();
-  if (!isRecent && isOriginalOnly)
-    return {flow.Tried[0], PacketReason::None, ServerEvidence::FirstPacket};
-  return undecided;
+  if (isOriginal(now, flow, path))
+    return {named, PacketReason::None, ServerEvidence::Handshake};
+  // The first packet was lost before it reached a server, so a wrong server
+  // resets no open flow. The answers of further tries replace the token of the
+  // first server.
+  if (flow.Copies.isUnopenedElsewhere(now)) {
+    bool isTriedOnArrival = flow.Copies.count() > 1 || flow.IsRepeated ||
+                            Detector.isSilent(flow.Tried[0]);
+    return {isTriedOnArrival ? named : flow.Tried[0], PacketReason::None,
+            ServerEvidence::Likely};
+  }
+  // Callers answer a server at once. Retransmissions on a flow that a missing
+  // copy has opened come at any time.
+  if (now - flow.LastSent < Timeout.value())
+    return {named, PacketReason::None, ServerEvidence::Likely};
+  return {NoServerIndex, PacketReason::Undecided, ServerEvidence::None};
+}
+
+bool PacketRouter::isOriginal(TimePoint now, const TrackedFlow &flow,
+                              const PacketPath &path) {
+  return path.IsOriginal ||
+         now - flow.UnansweredAt < OpeningCopies::MinRetransmissionTime;
 }
 
 } // namespace balsamrack
--- a/Balsamrack/Peers/PeerCodec.cpp
+++ b/Balsamrack/Peers/PeerCodec.cpp
@@ -34,7 +34,8 @@
      "KeysHandedOver",
      "PublishedDigest",
      "PublishedRequest",
-     "PublishedUpdate"};
+     "PublishedUpdate",
+     "RelayedPacket"};
 
 absl::Status fault(const std::string &message) {
   return makeError(absl::StatusCode::kInvalidArgument, Step::DecodePeerMessage,
--- a/Balsamrack/Peers/PeerFields.h
+++ b/Balsamrack/Peers/PeerFields.h
@@ -294,6 +294,12 @@
   ar("a", m.KnownDaemons);
 }
 
+template <class Ar>
+void fields(Ar &ar, typename Ar::template Ref<RelayedPacket> m) {
+  ar("o", m.IsOriginal);
+  ar.bytes("b", m.Bytes);
+}
+
 } // namespace balsamrack
 
 #endif // BALSAMRACK_PEERS_PEERFIELDS_H
--- a/Balsamrack/Peers/PeerMessage.h
+++ b/Balsamrack/Peers/PeerMessage.h
@@ -6,6 +6,7 @@
 #include "Balsamrack/Configuration/ConfigurationMessages.h"
 #include "Balsamrack/Flows/FlowMessages.h"
 #include "Balsamrack/Membership/MembershipMessages.h"
+#include "Balsamrack/Packets/RelayedPacket.h"
 #include "Balsamrack/Published/PublishedMessages.h"
 #include "Balsamrack/World/Request.h"
 
@@ -48,7 +49,7 @@
                  OwnershipHandOver, Forward, OutcomeReport, CancelRequest,
                  FlowQuestion, FlowReply, FlowExceptions, KeyClaim, KeyReply,
                  KeySettled, KeysHandedOver, PublishedDigest, PublishedRequest,
-                 PublishedUpdate>;
+                 PublishedUpdate, RelayedPacket>;
 
 } // namespace balsamrack
 
--- a/PerformanceTest/packet-pathMain.cpp
+++ b/PerformanceTest/packet-pathMain.cpp
@@ -48,7 +48,7 @@
   if (position == 0)
     token = 0;
   else if (position == 1)
-    token = firstPacketToken(token, key, sequence);
+    token = openingToken(DaemonTag(), 0, key, token);
   put(18, token, 4);
   packet[22] = position == 0                    ? 2
                : position + 1 == PacketsPerFlow ? 32 | 64
@@ -71,6 +71,8 @@
     std::memcpy(out + Codec.prefixBytes(), packet, n);
     Codec.writeToken(out + Codec.prefixBytes(), to.Token);
   }
+  void relay(DaemonTag /*to*/, bool /*isOriginal*/, const uint8_t * /*packet*/,
+             size_t /*n*/) override {}
   void reset(const PacketHeader & /*head*/) override {}
   void report(const PacketEvent & /*event*/) override {}
 
--- a/PerformanceTest/server-countMain.cpp
+++ b/PerformanceTest/server-countMain.cpp
@@ -27,6 +27,7 @@
     LastToken = to.Token;
     ++Forwarded;
   }
+  void relay(DaemonTag, bool, const uint8_t *, size_t) override {}
   void reset(const PacketHeader & /*head*/) override {}
   void report(const PacketEvent & /*event*/) override {}
 
--- a/UnitTests/Daemon/PacketForwarderTest.cpp
+++ b/UnitTests/Daemon/PacketForwarderTest.cpp
@@ -116,6 +116,17 @@
           2,    0x44, 0x33, 0x22,   0x11, copy, 0,    0, 0};
 }
 
+/// The first packet after opening(\p caller), with token \p token.
+std::vector<uint8_t> firstPacket(uint8_t caller, uint32_t token) {
+  constexpr size_t FlagsOffset = 22;
+  constexpr uint8_t Acknowledges = 32;
+  std::vector<uint8_t> packet = opening(caller);
+  packet[FlagsOffset] = Acknowledges;
+  ++packet[FlagsOffset + 1];
+  platform::EchoPackets().writeToken(packet.data(), token);
+  return packet;
+}
+
 struct SuspensionCase {
   const char *Name;
   Duration Suspension;
@@ -126,13 +137,13 @@
   uint8_t Copies = 1;      ///< Copies that wait in the socket.
 };
 
-class EachSuspension : public testing::TestWithParam<SuspensionCase> {
+class PacketForwarderTest : public testing::Test {
 protected:
-  EachSuspension()
+  PacketForwarderTest()
       : Null(open("/dev/null", O_WRONLY)),
         Log(EventLog::create(EventLogSettings(), Null, Time)),
         Telemetry(Time, *Log) {}
-  ~EachSuspension() override {
+  ~PacketForwarderTest() override {
     Log.reset();
     close(Null);
   }
@@ -149,6 +160,50 @@
   platform::EchoPackets Codec;
 };
 
+// Guards against a first packet that is lost because it moves to another daemon
+// than the one with the opening.
+TEST_F(PacketForwarderTest, RelaysAFirstPacketToTheDaemonWithTheOpening) {
+  const DaemonTag self{7};
+  const DaemonTag peer{9};
+  auto created = std::make_unique<SuspendingSocket>(Time);
+  SuspendingSocket &socket = *created;
+  PacketRouterSettings settings;
+  settings.Domain = DomainId("bern-a");
+  settings.Self = self;
+  PacketForwarder forwarder(settings, Codec, std::move(created), Time, 1,
+                            Telemetry, [] {});
+  std::mutex lock;
+  std::vector<std::pair<DaemonTag, RelayedPacket>> relayed;
+  forwarder.setRelayHandler([&](DaemonTag to, RelayedPacket packet) {
+    std::lock_guard<std::mutex> hold(lock);
+    relayed.emplace_back(to, std::move(packet));
+  });
+  forwarder.setPeers({peer}, true);
+  forwarder.apply(oneServer());
+
+  std::vector<uint8_t> elsewhere =
+      firstPacket(8, openingToken(peer, 1, FlowKey(), 1));
+  socket.deliver(elsewhere, Duration{0});
+  ASSERT_TRUE(waitUntil([&] {
+    std::lock_guard<std::mutex> hold(lock);
+    return !relayed.empty();
+  }));
+  EXPECT_EQ(relayed.front().first, peer);
+  EXPECT_EQ(relayed.front().second.Bytes,
+            std::string(elsewhere.begin(), elsewhere.end()));
+  EXPECT_EQ(socket.sent(), 0U);
+
+  socket.deliver(opening(7), Duration{0});
+  ASSERT_TRUE(waitUntil([&] { return socket.sent() == 1; }));
+  std::vector<uint8_t> here =
+      firstPacket(7, openingToken(self, 1, FlowKey(), 1));
+  forwarder.handleRelayed({true, std::string(here.begin(), here.end())});
+  EXPECT_TRUE(waitUntil([&] { return socket.sent() == 2; }));
+}
+
+class EachSuspension : public PacketForwarderTest,
+                       public testing::WithParamInterface<SuspensionCase> {};
+
 // Guards against a process that is suspended right before it reads its socket,
 // and handles what has arrived meanwhile by the time of before: an opening is
 // placed by outdated routes, although its copies have opened the flow.
--- a/UnitTests/Daemon/PacketTelemetryTest.cpp
+++ b/UnitTests/Daemon/PacketTelemetryTest.cpp
@@ -61,19 +61,22 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Events, EachHandshakeEvent,
-    testing::Values(
-        HandshakeEvent{"OrdinaryHandshake", PacketEventKind::Confirmed,
-                       ServerEvidence::Handshake, 1, 0, false},
-        HandshakeEvent{"ALaterCopy", PacketEventKind::Confirmed,
-                       ServerEvidence::Handshake, 1, 1, true},
-        HandshakeEvent{"SeveralServers", PacketEventKind::Confirmed,
-                       ServerEvidence::Handshake, 2, 0, true},
-        HandshakeEvent{"AdoptedByToken", PacketEventKind::Adopted,
-                       ServerEvidence::Token, 0, 0, false},
-        HandshakeEvent{"AdoptedByTheFirstPacket", PacketEventKind::Adopted,
-                       ServerEvidence::FirstPacket, 0, 0, true},
-        HandshakeEvent{"ServerDiffers", PacketEventKind::ServerDiffers,
-                       ServerEvidence::Token, 0, 0, true}),
+    testing::Values(HandshakeEvent{"OrdinaryHandshake",
+                                   PacketEventKind::Confirmed,
+                                   ServerEvidence::Handshake, 1, 0, false},
+                    HandshakeEvent{"ALaterCopy", PacketEventKind::Confirmed,
+                                   ServerEvidence::Handshake, 1, 1, true},
+                    HandshakeEvent{"SeveralServers", PacketEventKind::Confirmed,
+                                   ServerEvidence::Handshake, 2, 0, true},
+                    HandshakeEvent{"AdoptedByToken", PacketEventKind::Adopted,
+                                   ServerEvidence::Token, 0, 0, false},
+                    HandshakeEvent{"ALikelyServer", PacketEventKind::Confirmed,
+                                   ServerEvidence::Likely, 1, 0, true},
+                    HandshakeEvent{"Relayed", PacketEventKind::Relayed,
+                                   ServerEvidence::None, 0, 0, true},
+                    HandshakeEvent{"ServerDiffers",
+                                   PacketEventKind::ServerDiffers,
+                                   ServerEvidence::Token, 0, 0, true}),
     [](const auto &info) { return std::string(info.param.Name); });
 
 } // namespace
--- a/UnitTests/Packets/LoadedSite.h
+++ b/UnitTests/Packets/LoadedSite.h
@@ -123,6 +123,7 @@
       std::memcpy(&call, packet, sizeof call);
       Site.handleArrival(to.Tag - 1, to.Token, call, packet[8] != 0);
     }
+    void relay(DaemonTag, bool, const uint8_t *, size_t) override {}
     void reset(const PacketHeader &head) override { Site.handleReset(head); }
     void report(const PacketEvent &) override {}
 
--- a/UnitTests/Packets/MovedHandshakeTest.cpp
+++ b/UnitTests/Packets/MovedHandshakeTest.cpp
@@ -14,6 +14,12 @@
   MovedHandshakeTest() {
     for (PacketRouterHarness *it : {&First, &Second, &Third})
       it->publishDefaults();
+    PacketRouterHarness::connect({&First, &Second, &Third});
+  }
+  /// Expects that \p daemon has forwarded packets to \p home only.
+  static void expectOnlyAt(const PacketRouterHarness &daemon, uint64_t home) {
+    for (const RecordingSink::Forwarded &it : daemon.Out.Sent)
+      EXPECT_EQ(it.Tag, home);
   }
   /// Advances the first daemon until it has sent its last opening to \p servers
   /// servers.
@@ -35,27 +41,32 @@
                             public testing::WithParamInterface<SecondAnswers> {
 };
 
-// The fabric moves a flow to another daemon during its handshake. Guards
-// against the first daemon's further tries: their late answers bring the caller
-// a token that a third daemon would follow to a server without the flow.
+// The fabric moves a flow to other daemons during its handshake and after it.
+// Guards against following the token of a further try's late answer.
 TEST_P(EachNumberOfAnswers, LateAnswersMoveNoFlow) {
   First.sendOpening(Port);
   uint64_t home = First.lastTag();
-  Second.sendOnFlow(Port, First.lastToken());
-  ASSERT_EQ(Second.lastTag(), home);
+  uint32_t token = First.lastToken();
   retryUntil(GetParam().Servers);
   ASSERT_NE(First.lastTag(), home);
   uint32_t late = First.lastToken();
+  First.Out.Sent.clear();
+  Second.sendRequest(Port, token, 0);
+  ASSERT_EQ(First.Out.Sent.size(), 1U) << "only this daemon knows";
+  uint32_t plain = First.lastToken();
   Third.sendRequest(Port, late, 1);
-  EXPECT_TRUE(Third.Out.Sent.empty()) << "a rescued flow sends the same packet";
-  EXPECT_TRUE(Third.Out.Resets.empty());
   Second.sendRequest(Port, late, 1);
-  EXPECT_EQ(Second.lastTag(), home) << "a daemon that tracks the flow knows";
   First.advance(Millisecond * 250);
   First.sendRequest(Port, late, 1);
-  EXPECT_EQ(First.lastTag(), home) << "the only server that others know";
-  Third.sendRequest(Port, Second.lastToken(), 2);
+  EXPECT_EQ(First.Out.Sent.size(), 4U);
+  expectOnlyAt(First, home);
+  EXPECT_TRUE(Second.Out.Sent.empty());
+  EXPECT_TRUE(Third.Out.Sent.empty());
+  Third.sendRequest(Port, plain, 2);
   EXPECT_EQ(Third.lastTag(), home) << "once its server has answered";
+  Third.sendRequest(Port, late, 3);
+  EXPECT_EQ(Third.lastTag(), home) << "a daemon that tracks the flow knows";
+  EXPECT_TRUE(Third.Out.Resets.empty());
 }
 
 INSTANTIATE_TEST_SUITE_P(Answers, EachNumberOfAnswers,
@@ -76,11 +87,13 @@
   uint64_t home = First.lastTag();
   First.sendOnFlow(Port, First.lastToken());
   ASSERT_EQ(First.lastTag(), home);
+  First.Out.Sent.clear();
   Second.sendRequest(Port, token, 1);
   EXPECT_TRUE(Second.Out.Sent.empty());
   EXPECT_TRUE(Second.Out.Resets.empty());
   First.sendRequest(Port, token, 1);
-  EXPECT_EQ(First.lastTag(), home) << "a daemon that tracks the flow knows";
+  EXPECT_EQ(First.Out.Sent.size(), 2U);
+  expectOnlyAt(First, home);
 }
 
 // Guards against a copy of an opening that went to another daemon than the
@@ -134,6 +147,7 @@
   retryUntil(2);
   Third.sendRequest(Port, First.lastToken(), 1);
   EXPECT_TRUE(Third.Out.Sent.empty());
+  EXPECT_EQ(First.Out.Sent.size(), 2U);
   Third.sendRequest(Port, Second.lastToken(), 1);
   EXPECT_EQ(Third.lastTag(), home);
 }
@@ -166,13 +180,16 @@
     First.sendRequest(Port, token, 0);
     token = First.lastToken();
   }
+  size_t before = First.Out.Sent.size() + Second.Out.Sent.size();
   Second.sendRequest(Port, token, GetParam().Request);
-  for (uint8_t copy : {1, 2}) {
+  EXPECT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), before + 1);
+  for (uint8_t copy : {1, 2})
     Second.sendOpening(Port, copy);
-    EXPECT_EQ(Second.lastTag(), home);
-  }
+  EXPECT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), before + 1);
   Second.sendRequest(Port, token, 2);
-  EXPECT_EQ(Second.lastTag(), home);
+  EXPECT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), before + 2);
+  expectOnlyAt(First, home);
+  expectOnlyAt(Second, home);
   EXPECT_FALSE(
       Second.Out.reported(PacketEventKind::Placed, PacketReason::None));
 }
@@ -202,6 +219,7 @@
   retryUntil(2);
   Third.sendRequest(Port, First.lastToken(), 1);
   EXPECT_TRUE(Third.Out.Sent.empty());
+  EXPECT_EQ(First.Out.Sent.size(), 2U);
 }
 
 // Guards against the loss of a packet that overtakes the first one after the
@@ -243,8 +261,12 @@
   First.sendOpening(Port);
   First.advance(Millisecond * 200);
   First.sendOpening(Port, 1);
-  Second.sendOnFlow(Port, First.lastToken());
-  EXPECT_EQ(Second.lastTag(), First.lastTag());
+  uint64_t home = First.lastTag();
+  uint32_t token = First.lastToken();
+  First.Out.Sent.clear();
+  Second.sendOnFlow(Port, token);
+  EXPECT_EQ(First.Out.Sent.size(), 1U);
+  expectOnlyAt(First, home);
 }
 
 struct WaitingCopy {
@@ -271,13 +293,18 @@
     Second.sendRequest(Port, token, 0);
     token = Second.lastToken();
   }
+  size_t before = Second.Out.Sent.size();
   First.sendRequest(Port, token, GetParam().Request);
-  ASSERT_EQ(First.lastTag(), home);
+  ASSERT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), before + 1);
   First.Router.setFresh();
   First.advance(Millisecond * 30);
   EXPECT_FALSE(First.Out.reported(PacketEventKind::Placed, PacketReason::None));
-  First.sendRequest(Port, First.lastToken(), GetParam().Request + 1);
+  First.sendRequest(Port, token, GetParam().Request + 1);
+  EXPECT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), before + 2);
+  First.sendRequest(Port, Second.lastToken(), GetParam().Request + 2);
   EXPECT_EQ(First.lastTag(), home);
+  expectOnlyAt(First, home);
+  expectOnlyAt(Second, home);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -312,10 +339,12 @@
   retryUntil(2);
   uint64_t home = First.lastTag();
   uint32_t token = First.lastToken();
+  First.Out.Sent.clear();
   First.sendRequest(Port, token, 0);
-  ASSERT_EQ(First.lastTag(), home);
   Third.sendRequest(Port, token, 1);
-  EXPECT_TRUE(Third.Out.Sent.empty() || Third.lastTag() == home);
+  EXPECT_TRUE(Third.Out.Sent.empty());
+  EXPECT_EQ(First.Out.Sent.size(), 2U);
+  expectOnlyAt(First, home);
 }
 
 // A daemon has forwarded a delayed copy of the opening of an open flow. Guards
@@ -335,23 +364,52 @@
     EXPECT_EQ(it.Tag, home);
 }
 
+struct MovedBack {
+  const char *Name;
+  uint8_t Copy;     ///< The copy that the second daemon gets; zero for none.
+  Duration After;   ///< From the opening to the retransmitted first packet.
+  bool IsForwarded; ///< The first daemon can forward it.
+};
+
+class EachMoveBack : public MovedHandshakeTest,
+                     public testing::WithParamInterface<MovedBack> {};
+
 // The fabric moves a flow during its handshake and back while its first request
 // runs. Guards against following a late answer when that request is
 // retransmitted.
-TEST_F(MovedHandshakeTest, ARetransmittedFirstPacketMovesNoFlow) {
+TEST_P(EachMoveBack, ARetransmittedFirstPacketMovesNoFlow) {
   First.sendOpening(Port);
   uint64_t home = First.lastTag();
-  Second.sendRequest(Port, First.lastToken(), 0);
-  ASSERT_EQ(Second.lastTag(), home);
+  uint32_t token = First.lastToken();
   retryUntil(2);
   uint32_t late = First.lastToken();
-  First.advance(Millisecond * 220);
+  if (uint8_t copy = GetParam().Copy) {
+    Second.advance(PacketRouterHarness::copyAge(copy));
+    Second.sendOpening(Port, copy);
+    home = Second.lastTag();
+    token = Second.lastToken();
+  }
+  First.Out.Sent.clear();
+  Third.sendRequest(Port, token, 0);
+  ASSERT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(),
+            GetParam().Copy > 0 ? 2U : 1U);
+  First.advance(TimePoint(Duration(1'000'000)) + GetParam().After - First.Now);
   First.Out.Sent.clear();
   First.sendRequest(Port, late, 0);
-  for (const RecordingSink::Forwarded &it : First.Out.Sent)
-    EXPECT_EQ(it.Tag, home);
+  EXPECT_EQ(First.Out.Sent.size(), GetParam().IsForwarded ? 1U : 0U);
+  expectOnlyAt(First, home);
+  expectOnlyAt(Second, home);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Moves, EachMoveBack,
+    testing::Values(MovedBack{"Once", 0, Millisecond * 250, true},
+                    MovedBack{"Twice", 0, Millisecond * 700, true},
+                    MovedBack{"AfterTheSecondCopy", 1, Millisecond * 410,
+                              false},
+                    MovedBack{"AfterTheLastCopy", 2, Millisecond * 810, false}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 struct ReusedPort {
   const char *Name;
   bool HasPlainToken; ///< The caller has the token of the open flow.
@@ -382,8 +440,12 @@
     Second.sendRequest(Port, token, 0);
     token = Second.lastToken();
   }
+  First.Out.Sent.clear();
+  Second.Out.Sent.clear();
   First.sendRequest(Port, token, GetParam().HasPlainToken ? 1 : 0);
-  EXPECT_EQ(First.lastTag(), home);
+  EXPECT_EQ(First.Out.Sent.size() + Second.Out.Sent.size(), 1U);
+  expectOnlyAt(First, home);
+  expectOnlyAt(Second, home);
 }
 
 INSTANTIATE_TEST_SUITE_P(Tokens, EachReusedPort,
@@ -519,6 +581,49 @@
   EXPECT_TRUE(Third.Out.Resets.empty());
 }
 
+struct LateAnswer {
+  const char *Name;
+  Duration After;       ///< From the first packet to its retransmission.
+  size_t Servers;       ///< Servers that got the opening.
+  bool HasFirst = true; ///< The daemon with the opening still runs.
+};
+
+class EachLateAnswer : public MovedHandshakeTest,
+                       public testing::WithParamInterface<LateAnswer> {};
+
+// A server answers an opening after its caller has accepted another one. Guards
+// against a daemon that follows the token of the late answer when the caller
+// retransmits its first packet.
+TEST_P(EachLateAnswer, MovesNoFlow) {
+  First.sendOpening(Port);
+  uint32_t late = First.lastToken();
+  retryUntil(GetParam().Servers);
+  uint64_t home = First.lastTag();
+  First.sendRequest(Port, First.lastToken(), 0);
+  ASSERT_EQ(First.lastTag(), home);
+  if (!GetParam().HasFirst)
+    PacketRouterHarness::connect({&Second, &Third});
+  First.Out.Sent.clear();
+  First.advance(GetParam().After);
+  Third.advance(GetParam().After);
+  Third.sendRequest(Port, late, 0);
+  EXPECT_TRUE(Third.Out.Sent.empty());
+  EXPECT_TRUE(Third.Out.Resets.empty());
+  EXPECT_EQ(First.Out.Sent.size(), GetParam().HasFirst ? 1U : 0U);
+  expectOnlyAt(First, home);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, EachLateAnswer,
+    testing::Values(LateAnswer{"FirstRetransmission", Millisecond * 200, 2},
+                    LateAnswer{"SecondRetransmission", Millisecond * 600, 2},
+                    LateAnswer{"ThirdRetransmission", Millisecond * 1'400, 2},
+                    LateAnswer{"Within100Ms", Millisecond * 60, 2},
+                    LateAnswer{"FourServers", Millisecond * 200, 4},
+                    LateAnswer{"TheDaemonHasStopped", Millisecond * 200, 2,
+                               false}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 // Guards against a daemon that follows the token of the late answer of the
 // first server when the caller of the second one retransmits its first packet.
 TEST_F(MovedHandshakeTest, AnAnswerLateBy100MsMovesNoFlow) {
@@ -530,8 +635,52 @@
   ASSERT_EQ(First.lastTag(), home);
   Third.advance(Millisecond * 250);
   Third.sendRequest(Port, late, 0);
-  for (const RecordingSink::Forwarded &it : Third.Out.Sent)
-    EXPECT_EQ(it.Tag, home);
+  expectOnlyAt(Third, home);
+}
+
+// The first packet after the opening is lost while further servers get the
+// opening. Guards against dropping its retransmissions: no server has the flow.
+TEST_F(MovedHandshakeTest, ALostFirstPacketIsForwardedWhenRetransmitted) {
+  First.sendOpening(Port);
+  uint64_t home = First.lastTag();
+  retryUntil(3);
+  uint32_t late = First.lastToken();
+  First.advance(TimePoint(Duration(1'210'000)) - First.Now);
+  First.Out.Sent.clear();
+  Second.sendRequest(Port, late, 0);
+  EXPECT_EQ(First.Out.Sent.size(), 1U);
+  expectOnlyAt(First, home);
+}
+
+// Guards against dropping a moved first packet because its daemon has started
+// at the same time as this one.
+TEST_F(MovedHandshakeTest, APacketOfAnUnknownDaemonIsRelayedAfterAStart) {
+  const uint32_t token =
+      openingToken(DaemonTag::of(VmId("new")), 1, First.key(Port), 1);
+  Second.sendRequest(Port, token, 0);
+  EXPECT_FALSE(
+      Second.Out.reported(PacketEventKind::Relayed, PacketReason::None));
+  Second.Router.setPeers({}, false);
+  Second.sendRequest(Port, token, 0);
+  EXPECT_TRUE(
+      Second.Out.reported(PacketEventKind::Relayed, PacketReason::None));
+  EXPECT_TRUE(Second.Out.Sent.empty());
+}
+
+// Two daemons have one tag. Guards against packets that are relayed in a loop.
+TEST_F(MovedHandshakeTest, ARelayedPacketIsNotRelayedAgain) {
+  PacketRouterSettings routing = PacketRouterHarness::settings();
+  routing.Self = First.Self;
+  PacketRouterHarness twin{4, routing};
+  twin.publishDefaults();
+  PacketRouterHarness::connect({&First, &Second, &twin});
+  twin.sendOpening(Port);
+  uint64_t home = twin.lastTag();
+  Second.sendRequest(Port, twin.lastToken(), 0);
+  EXPECT_EQ(twin.Out.Sent.size(), 2U);
+  expectOnlyAt(twin, home);
+  EXPECT_TRUE(First.Out.Sent.empty());
+  EXPECT_TRUE(First.Out.Relayed.empty());
 }
 
 } // namespace
--- a/UnitTests/Packets/MovingSite.cpp
+++ b/UnitTests/Packets/MovingSite.cpp
@@ -34,6 +34,11 @@
   TimePoint ArrivedAt{}; ///< At the socket of a daemon.
 };
 
+struct MovingSite::Relayed {
+  uint32_t Id = 0; ///< Index in Packets.
+  bool IsOriginal = false;
+};
+
 struct MovingSite::Caller {
   uint16_t Port = 0;
   uint32_t Attempt = 0; ///< Number of the current flow.
@@ -84,6 +89,20 @@
               site.arriveAtServer(server, packet, token);
             });
   }
+  void relay(DaemonTag to, bool isOriginal, const uint8_t *bytes,
+             size_t) override {
+    uint32_t id = 0;
+    std::memcpy(&id, bytes, sizeof id);
+    if (Site.happens(Site.Settings.Loss))
+      return;
+    size_t daemon = to.Value - 1;
+    Site.trace(Site.Packets[id].CallerIndex, "daemon " + std::to_string(Index) +
+                                                 " relays to daemon " +
+                                                 std::to_string(daemon));
+    Site.at(Site.Now + Site.transit(), [&site = Site, daemon, id, isOriginal] {
+      site.receiveRelayed(daemon, {id, isOriginal});
+    });
+  }
   void reset(const PacketHeader &head) override {
     for (Caller &it : Site.Callers) {
       size_t index = static_cast<size_t>(&it - Site.Callers.data());
@@ -111,11 +130,20 @@
 
 struct MovingSite::Daemon {
   Daemon(MovingSite &site, size_t index, uint64_t seed)
-      : Router(seed), Out(site, index) {}
+      : Router(seed, settings(index)), Out(site, index) {}
+  static DaemonTag tag(size_t index) {
+    return {static_cast<uint32_t>(index) + 1};
+  }
+  static PacketRouterSettings settings(size_t index) {
+    PacketRouterSettings s = PacketRouterHarness::settings();
+    s.Self = tag(index);
+    return s;
+  }
   PacketRouterHarness Router;
   Sink Out;
   bool IsFrozen = false;
   std::vector<Packet> Waiting;
+  std::vector<Relayed> WaitingRelayed;
 };
 
 MovingSite::MovingSite(const MovingSiteSettings &settings)
@@ -159,7 +187,12 @@
     specs.push_back(
         {"b" + std::to_string(i), i % 2 == 0 ? "bern-a" : "bern-b"});
   router.publishServers(specs);
+  std::vector<DaemonTag> peers;
+  for (size_t i = 0; i < Daemons; ++i)
+    if (i != index)
+      peers.push_back(Daemon::tag(i));
   router.Router.setFleet({Daemons, index, Daemons, index, {}});
+  router.Router.setPeers(std::move(peers), true);
   router.Router.tick(Now, daemon->Out);
   AllDaemons[index] = std::move(daemon);
 }
@@ -205,6 +238,21 @@
   daemon.Router.Router.tick(Now, daemon.Out);
 }
 
+void MovingSite::receiveRelayed(size_t index, const Relayed &relayed) {
+  Daemon &daemon = *AllDaemons[index];
+  if (daemon.IsFrozen) {
+    daemon.WaitingRelayed.push_back(relayed);
+    return;
+  }
+  std::array<uint8_t, 31> bytes{};
+  std::memcpy(bytes.data(), &relayed.Id, sizeof relayed.Id);
+  daemon.Router.Now = Now;
+  daemon.Router.Router.handleRelayed(Now, Packets[relayed.Id].Head,
+                                     relayed.IsOriginal, bytes.data(),
+                                     bytes.size(), daemon.Out);
+  daemon.Router.Router.tick(Now, daemon.Out);
+}
+
 void MovingSite::resume(size_t index, Duration suspended) {
   Daemon &daemon = *AllDaemons[index];
   daemon.IsFrozen = false;
@@ -217,6 +265,8 @@
   daemon.Router.Router.setDelayed(isNoticed);
   for (const Packet &it : std::exchange(daemon.Waiting, {}))
     receive(index, it, true);
+  for (const Relayed &it : std::exchange(daemon.WaitingRelayed, {}))
+    receiveRelayed(index, it);
   daemon.Router.Router.setDelayed(false);
 }
 
@@ -302,8 +352,11 @@
   }
   bool isCurrent = caller.Attempt == packet.Attempt && caller.IsOpen;
   auto it = server.Flows.find(key);
+  // An old packet of the flow that used the port before belongs to none.
+  constexpr uint32_t Window = 1U << 24;
   bool isHome = it != server.Flows.end() &&
-                packet.Head.Acknowledged - it->second.Sequence < (1U << 24);
+                packet.Head.Sequence - it->second.First < Window &&
+                packet.Head.Acknowledged - it->second.Sequence < Window;
   if (!isHome) {
     if (isCurrent && caller.HasArrived && caller.Home != index)
       fault(Result.Misforwarded,
--- a/UnitTests/Packets/MovingSite.h
+++ b/UnitTests/Packets/MovingSite.h
@@ -55,6 +55,7 @@
   static constexpr size_t Servers = 12;
 
   struct Packet;
+  struct Relayed;
   struct Caller;
   class Sink;
   struct Daemon;
@@ -66,6 +67,7 @@
   bool happens(double chance);
   void startDaemon(size_t index);
   void receive(size_t daemon, const Packet &packet, bool wasWaiting);
+  void receiveRelayed(size_t daemon, const Relayed &relayed);
   void resume(size_t daemon, Duration suspended);
   void changeRotation();
   void troubleServer(size_t index, bool isDark);
--- a/UnitTests/Packets/PacketFlowTableTest.cpp
+++ b/UnitTests/Packets/PacketFlowTableTest.cpp
@@ -1,5 +1,7 @@
 #include "Balsamrack/Packets/PacketFlowTable.h"
 
+#include <vector>
+
 #include <gtest/gtest.h>
 
 namespace balsamrack {
@@ -51,6 +53,40 @@
   EXPECT_EQ(memory.add(Start, key(3)), nullptr);
 }
 
+struct RoomCase {
+  const char *Name;
+  FlowStage First;  ///< Of the flow that was added first.
+  FlowStage Second; ///< Of the other one.
+  size_t Left;      ///< Flows that are left.
+};
+
+class EachFullTable : public testing::TestWithParam<RoomCase> {};
+
+// Guards against a new flow that is not tracked because the table is full of
+// flows that their tokens identify, and against removing a handshake.
+TEST_P(EachFullTable, MakesRoomForAnOpening) {
+  PacketFlowTable memory(2);
+  memory.add(Start, key(1))->Stage = GetParam().First;
+  memory.add(Start + Duration(1'000), key(2))->Stage = GetParam().Second;
+  std::vector<FlowStage> removed;
+  memory.makeRoom(Start + Duration(2'000),
+                  [&](const TrackedFlow &it) { removed.push_back(it.Stage); });
+  EXPECT_EQ(memory.size(), GetParam().Left);
+  EXPECT_EQ(removed.size(), 2 - GetParam().Left);
+  for (FlowStage it : removed)
+    EXPECT_NE(it, FlowStage::Opening);
+  EXPECT_EQ(memory.add(Start, key(3)) != nullptr, GetParam().Left < 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tables, EachFullTable,
+    testing::Values(
+        RoomCase{"OpenFlows", FlowStage::Open, FlowStage::Open, 1},
+        RoomCase{"ARelayedFlow", FlowStage::Opening, FlowStage::Relayed, 1},
+        RoomCase{"AClosingFlow", FlowStage::Closing, FlowStage::Opening, 1},
+        RoomCase{"Handshakes", FlowStage::Opening, FlowStage::Opening, 2}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 TEST(PacketFlowTableTest, AnActiveFlowIsKept) {
   PacketFlowTable memory(10);
   memory.add(Start, key(1))->Stage = FlowStage::Open;
--- a/UnitTests/Packets/PacketRouterHarness.h
+++ b/UnitTests/Packets/PacketRouterHarness.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 #define BALSAMRACK_UNITTESTS_PACKETS_PACKETROUTERHARNESS_H
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <string>
@@ -22,6 +23,9 @@
   void forward(const PacketTarget &to, const uint8_t *, size_t) override {
     Sent.push_back({to.At, to.Tag, to.Token});
   }
+  void relay(DaemonTag to, bool isOriginal, const uint8_t *, size_t) override {
+    Relayed.push_back({to, isOriginal});
+  }
   void reset(const PacketHeader &head) override { Resets.push_back(head); }
   void report(const PacketEvent &event) override {
     Kinds.push_back(event.Kind);
@@ -34,7 +38,13 @@
     return false;
   }
 
+  struct Relay {
+    DaemonTag To;
+    bool IsOriginal = false;
+  };
+
   std::vector<Forwarded> Sent;
+  std::vector<Relay> Relayed; ///< Until the harness has delivered them.
   std::vector<PacketHeader> Resets;
   std::vector<PacketEventKind> Kinds;
   std::vector<PacketReason> Reasons;
@@ -58,10 +68,26 @@
 
   explicit PacketRouterHarness(uint64_t seed = 1,
                                const PacketRouterSettings &routing = settings())
-      : Random(seed), Router(withSalt(routing, seed), Random) {}
+      : Random(seed), Self(withSalt(routing, seed).Self),
+        Router(withSalt(routing, seed), Random) {}
+
+  /// Makes the daemons \p all peers, which relay packets to each other.
+  static void connect(const std::vector<PacketRouterHarness *> &all) {
+    for (PacketRouterHarness *it : all) {
+      it->Peers = all;
+      std::vector<DaemonTag> peers;
+      for (const PacketRouterHarness *peer : all)
+        if (peer != it)
+          peers.push_back(peer->Self);
+      std::sort(peers.begin(), peers.end());
+      it->Router.setPeers(std::move(peers), true);
+    }
+  }
 
   static PacketRouterSettings withSalt(PacketRouterSettings s, uint64_t salt) {
     s.TokenSalt = static_cast<uint32_t>(salt);
+    if (s.Self.Value == 0)
+      s.Self = DaemonTag::of(VmId(std::to_string(salt)));
     return s;
   }
   static PacketRouterSettings settings() {
@@ -166,8 +192,7 @@
     head.CopyNumber = copy;
     head.Age = copyAge(copy);
     head.NextCopyAfter = copyAge(copy + 1) - head.Age;
-    Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
-    Router.tick(Now, Out);
+    handle(head);
   }
   /// Sends a packet on an open flow.
   void sendOnFlow(uint16_t callerPort, uint32_t token, uint16_t data = 100,
@@ -179,8 +204,7 @@
     head.Sequence = firstSequence(callerPort) + SequenceOffset + 1;
     head.DataBytes = data;
     head.Ends = ends;
-    Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
-    Router.tick(Now, Out);
+    handle(head);
   }
   /// Sends or retransmits request \p n (from zero) on an open flow.
   void sendRequest(uint16_t callerPort, uint32_t token, uint32_t n) {
@@ -238,6 +262,7 @@
   uint32_t SequenceOffset = 0;
   TimePoint Now{Duration(1'000'000)};
   SeededRandom Random;
+  DaemonTag Self;
   PacketRouter Router;
   PacketRoutesBuilder Builder;
   RecordingSink Out;
@@ -246,6 +271,15 @@
   static constexpr uint16_t RequestBytes = 100;
   static constexpr uint32_t AnswerBytes = 1000;
 
+  void handle(const PacketHeader &head) {
+    Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
+    for (const RecordingSink::Relay &it : std::exchange(Out.Relayed, {}))
+      for (PacketRouterHarness *peer : Peers)
+        if (peer != this && peer->Self == it.To)
+          peer->Router.handleRelayed(peer->Now, head, it.IsOriginal, Bytes,
+                                     sizeof Bytes, peer->Out);
+    Router.tick(Now, Out);
+  }
   void sendFlowPacket(uint16_t callerPort, uint32_t token, uint32_t sequence,
                       uint16_t data, uint32_t acknowledged) {
     PacketHeader head;
@@ -255,8 +289,7 @@
     head.Sequence = firstSequence(callerPort) + SequenceOffset + 1 + sequence;
     head.DataBytes = data;
     head.Acknowledged = acknowledged;
-    Router.handlePacket(Now, head, Bytes, sizeof Bytes, Out);
-    Router.tick(Now, Out);
+    handle(head);
   }
   void publishOperators() {
     Builder.applyOperatorObjects(Now, Operators);
@@ -264,6 +297,7 @@
   }
 
   static constexpr uint8_t Bytes[31] = {};
+  std::vector<PacketRouterHarness *> Peers; ///< See connect().
   std::vector<PublishedObject> Operators;
   uint64_t Revisions = 0;
 };
--- a/UnitTests/Packets/PacketRouterTest.cpp
+++ b/UnitTests/Packets/PacketRouterTest.cpp
@@ -32,13 +32,16 @@
   first.publishDefaults();
   second.publishDefaults();
   third.publishDefaults();
+  PacketRouterHarness::connect({&first, &second, &third});
   first.sendOpening(1);
+  uint64_t home = first.lastTag();
   second.sendOnFlow(1, first.lastToken());
-  EXPECT_EQ(second.lastTag(), first.lastTag());
   EXPECT_TRUE(
-      second.Out.reported(PacketEventKind::Adopted, PacketReason::FirstPacket));
-  third.sendRequest(1, second.lastToken(), 1);
-  EXPECT_EQ(third.lastTag(), first.lastTag());
+      second.Out.reported(PacketEventKind::Relayed, PacketReason::None));
+  ASSERT_EQ(first.Out.Sent.size(), 2U);
+  EXPECT_EQ(first.lastTag(), home);
+  third.sendRequest(1, first.lastToken(), 1);
+  EXPECT_EQ(third.lastTag(), home);
   EXPECT_TRUE(third.Out.reported(PacketEventKind::Adopted, PacketReason::None));
 }
 
@@ -395,6 +398,27 @@
   EXPECT_EQ(router.flows(), 2U);
 }
 
+// Guards against forwarding an opening that is not tracked: only this daemon
+// can tell which server its caller answers.
+TEST(PacketRouterTest, ATableFullOfHandshakesRefusesOpenings) {
+  PacketRouterSettings settings = PacketRouterHarness::settings();
+  settings.MaxFlows = 2;
+  PacketRouterHarness bench(1, settings);
+  bench.publishDefaults();
+  for (uint16_t port = 1; port <= 3; ++port)
+    bench.sendOpening(port);
+  EXPECT_EQ(bench.Out.Sent.size(), 2U);
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Refused, PacketReason::TableFull));
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+  // A copy may have been answered through another daemon.
+  bench.sendOpening(4, 1);
+  EXPECT_TRUE(
+      bench.Out.reported(PacketEventKind::Dropped, PacketReason::TableFull));
+  EXPECT_EQ(bench.Out.Sent.size(), 2U);
+  EXPECT_EQ(bench.Out.Resets.size(), 1U);
+}
+
 // The same input must give the same actions.
 TEST(PacketRouterTest, IsDeterministic) {
   auto play = [] {
--- a/UnitTests/Peers/PeerSamples.cpp
+++ b/UnitTests/Peers/PeerSamples.cpp
@@ -176,7 +176,8 @@
               false,
               {{{1, 2, 3.5, 0.5, Duration(300'000), 4.5, 0.25}}, false}},
           PublishedRequest{{{{12}, {}}, {{11}, {1, 0}}}},
-          publishedUpdate()};
+          publishedUpdate(),
+          RelayedPacket{true, std::string("\0\xff\x81", 3)}};
 }
 
 } // namespace balsamrack
