--- a/Balsamrack/Published/StateExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -143,6 +143,7 @@
   if (!list && postponeFirstWatch(now, state))
     return;
   state.Reading = true;
+  state.ReadStartedAt = now;
   state.TakenOver = state.VerifiedAt != TimePoint{} && !isRegularReader();
   PublishedRead read;
   read.Section = section;
@@ -204,8 +205,11 @@
     return takeActions();
   }
   state.NextRead = nextReadTime(now, read);
+  // The last page of a listing says nothing about changes in the first one.
+  bool isListing = read.After == Revision{};
   if (!read.AllowStale)
-    setVerified(read.Section, now, Self.Id.hash(), readerRank());
+    setVerified(read.Section, isListing ? state.ReadStartedAt : now,
+                Self.Id.hash(), readerRank());
   Revision before = Store.completeRevision(read.Section);
   std::vector<PublishedObject> changed = merge(*result, VmId());
   // A first listing is no update for running daemons; those that miss it
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -210,6 +210,7 @@
     bool IsCopying = false;   ///< Copies the section from a peer that has it.
     TimePoint PeerListsUntil; ///< Until then a peer that announced a listing of
                               ///< the section is expected to complete it.
+    TimePoint ReadStartedAt;  ///< Start of the last read.
     TimePoint NextRead;       ///< Earliest time of the next read.
     uint32_t Failures = 0;    ///< Consecutive failures.
   };
--- a/UnitTests/Published/StateExchangeTest.cpp
+++ b/UnitTests/Published/StateExchangeTest.cpp
@@ -321,6 +321,31 @@
                   PublishedSection::Servers));
 }
 
+// The pages of a listing arrive over three seconds. Guards against taking its
+// end for the time at which the first page was the newest.
+TEST(StateExchangeTest, AListingIsVerifiedAsOfItsStart) {
+  SeededRandom random(1);
+  StateExchange exchange(
+      {}, {VmId("vm-1"), DomainId("a"), {"10.0.0.1", 7946}, false}, random);
+  constexpr auto Operators = PublishedSection::Operators;
+  auto readAt = [&](TimePoint now) {
+    for (const StateExchangeAction &it : exchange.tick(now))
+      if (const auto *start = std::get_if<StartRead>(&it))
+        if (start->Read.Section == Operators)
+          return start->Read;
+    return PublishedRead();
+  };
+  TimePoint now(Second);
+  exchange.handleReadResult(now, readAt(now), absl::UnavailableError(""));
+  now += Second * 10;
+  PublishedRead listing = readAt(now);
+  ASSERT_FALSE(listing.AllowStale);
+  ASSERT_EQ(listing.After, Revision{});
+  exchange.handleReadResult(now + Second * 3, listing,
+                            PublishedChanges{Operators, {}, {7}, {}});
+  EXPECT_EQ(exchange.verifiedAt(Operators), now);
+}
+
 // Guards against a peer's message with a negative age: the daemon must not take
 // its state for verified in the future, and stop reading.
 TEST(StateExchangeTest, ANegativeAgeVerifiesNothing) {
