Read each section by itself, and list after a useless watch

Cause: the answer to a watch has no pages, and grew over the limit of 8 MB. The same watch was repeated until the store dropped the history. While the servers' section failed, isLeftToOtherSection() left the operators' section to its polling, so nobody read routes any more.

Evidence: the record of the case's store: watches of the servers answered by 12.6 MB 38 times in 21 s, and no call for the operators' section between them. EachFailedSection shows the same for either section, whatever failed.

Change: a watch whose answer is too large (2 MB) or cannot be decoded is replaced by a listing, which has pages and needs no history; an answer that announces its length is refused before it is transferred. Sections no longer wait for each other. The second failed section of a daemon asks seldom, and at once when the first one gets an answer; the first watch after a failure does not wait. So an outage costs no more calls than before.

Tests that failed before: EachFailedSection (both sections), EachUselessWatch (too large, invalid), LargeForeignEntriesDelayNoChange (with the daemon of before).

Sections that poll by themselves without the longer wait of the second one cost a large fleet 219 calls in an outage, more than EachOutage allows (204).

--- a/Balsamrack/Http/CurlExchange.cpp
+++ b/Balsamrack/Http/CurlExchange.cpp
@@ -165,7 +165,13 @@
 size_t CurlExchange::onBody(char *data, size_t size, size_t n, void *self) {
   auto &me = *static_cast<CurlExchange *>(self);
   me.LastByteAt = std::chrono::steady_clock::now();
-  if (me.Body.size() + size * n > me.Call.MaxAnswerBytes)
+  if (me.Body.empty())
+    curl_easy_getinfo(me.Easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                      &me.AnnouncedBytes);
+  // A response that announces its length is not read in vain.
+  me.TooLarge = me.Body.size() + size * n > me.Call.MaxAnswerBytes ||
+                me.AnnouncedBytes > me.Call.MaxAnswerBytes;
+  if (me.TooLarge)
     return 0;
   me.Body.append(data, size * n);
   return size * n;
@@ -188,10 +194,13 @@
 void CurlExchange::finish(CURLcode code, bool cancelled) {
   HttpCallResult result;
   result.Cancelled = cancelled;
+  result.TooLarge = TooLarge;
   result.Took = std::chrono::duration_cast<Duration>(
       std::chrono::steady_clock::now() - StartedAt);
   if (cancelled)
     result.Error = "cancelled";
+  else if (TooLarge)
+    result.Error = "response too large";
   else if (code != CURLE_OK)
     result.Error = curl_easy_strerror(code);
   else if (!hasExplicitLength())
--- a/Balsamrack/Http/CurlExchange.h
+++ b/Balsamrack/Http/CurlExchange.h
@@ -57,7 +57,9 @@
   bool Sent = false;  ///< The request was about to be written to a connection.
   HeaderList Headers; ///< Of the response so far.
   size_t HeaderBytes = 0;
-  std::string Body; ///< Of the response so far.
+  std::string Body;              ///< Of the response so far.
+  curl_off_t AnnouncedBytes = 0; ///< Length of the whole body; -1 if not known.
+  bool TooLarge = false;         ///< See HttpCallResult.
 };
 
 } // namespace balsamrack
--- a/Balsamrack/Http/HttpClient.h
+++ b/Balsamrack/Http/HttpClient.h
@@ -41,6 +41,7 @@
 /// Result of a call.
 struct HttpCallResult {
   HttpCallOutcome How = HttpCallOutcome::NotSent; ///< Outcome of the call.
+  bool TooLarge = false;  ///< The response exceeds HttpCall::MaxAnswerBytes.
   bool Cancelled = false; ///< Ended by cancel(), cancelAll() or stop().
   Answer Content;         ///< Response, if Answered; without hop-by-hop fields.
   std::string Error;      ///< Reason, unless Answered.
--- a/Balsamrack/Published/PublishedSource.h
+++ b/Balsamrack/Published/PublishedSource.h
@@ -27,11 +27,14 @@
 };
 
 /// The publishing service that operators and servers write to. Reads cost the
-/// platform, so StateExchange limits the number of readers.
+/// platform, so StateExchange limits the number of readers. The answer to a
+/// listing arrives in pages of bounded size, that to a watch at once.
 class PublishedSource {
 public:
   /// Receives the changes, or an error (step read-platform): kOutOfRange if the
-  /// history after the requested revision is no longer available.
+  /// history after the requested revision is no longer available;
+  /// kResourceExhausted if the answer is too large; kInvalidArgument if it
+  /// cannot be decoded; kUnavailable if there is none.
   using Done = std::function<void(absl::StatusOr<PublishedChanges>)>;
 
   virtual ~PublishedSource() = default;
--- a/Balsamrack/Published/StateExchange.cpp
+++ b/Balsamrack/Published/StateExchange.cpp
@@ -23,6 +23,16 @@
 /// pause.
 constexpr size_t PauseRequestFanout = 2;
 
+/// Returns whether the same watch would fail again, now that it has failed with
+/// \p status: the service has dropped the history that it needs, or has
+/// answered with something that is too large or invalid. A listing needs no
+/// history and has pages.
+bool isListingNeededAfter(const absl::Status &status) {
+  return status.code() == absl::StatusCode::kOutOfRange ||
+         status.code() == absl::StatusCode::kResourceExhausted ||
+         status.code() == absl::StatusCode::kInvalidArgument;
+}
+
 } // namespace
 
 StateExchange::StateExchange(const StateExchangeSettings &settings,
@@ -48,18 +58,9 @@
   RankOfDomain = before.size();
 }
 
-bool StateExchange::isLeftToOtherSection(PublishedSection section) const {
-  // While the service is unavailable, only one section polls it.
-  return std::any_of(
-      AllSections.begin(), AllSections.end(), [&](PublishedSection other) {
-        return other != section && at(other).ServiceUnavailable &&
-               (!at(section).ServiceUnavailable || other < section);
-      });
-}
-
 bool StateExchange::shouldRead(TimePoint now, PublishedSection section) const {
   const SectionState &state = at(section);
-  if (state.Reading || now < state.NextRead || isLeftToOtherSection(section))
+  if (state.Reading || now < state.NextRead)
     return false;
   if (Store.completeRevision(section) == Revision{} || state.TakenOver ||
       state.ListingRequired)
@@ -149,7 +150,8 @@
   read.Section = section;
   if (!list) {
     read.After = held;
-    read.Wait = Settings.WatchTimeout;
+    // After a failure, the answer has to show at once that the service is back.
+    read.Wait = state.Failures == 0 ? Settings.WatchTimeout : Duration{0};
   } else if (held == Revision{} && section == PublishedSection::Servers &&
              !state.SharesDone) {
     read.Share = nextShare(state);
@@ -195,8 +197,9 @@
   bool isFirst = state.VerifiedAt == TimePoint{} && state.SharesRead == 0;
   if (state.Failures > 0 || isFirst)
     Actions.emplace_back(SourceChanged{read.Section, true, ""});
+  if (state.Failures > 0)
+    retryFailedReads(now);
   state.Failures = 0;
-  state.ServiceUnavailable = false;
   state.ListingRequired = false;
   if (read.Share) {
     onShareRead(now, state, result->Objects.size());
@@ -273,11 +276,24 @@
          Duration(static_cast<int64_t>(Random.below(span)));
 }
 
+bool StateExchange::isFirstFailed(PublishedSection section) const {
+  return std::none_of(AllSections.begin(), AllSections.end(),
+                      [&](PublishedSection other) {
+                        return other < section && at(other).Failures > 0;
+                      });
+}
+
+void StateExchange::retryFailedReads(TimePoint now) {
+  for (SectionState &state : Sections)
+    if (state.Failures > 0)
+      state.NextRead = std::min(state.NextRead, now);
+}
+
 void StateExchange::onReadFailed(TimePoint now, const PublishedRead &read,
                                  const absl::Status &status) {
   SectionState &state = at(read.Section);
-  if (status.code() == absl::StatusCode::kOutOfRange) {
-    // The service no longer has the history that a watch needs.
+  bool isWatch = read.After != Revision{};
+  if (isWatch && isListingNeededAfter(status)) {
     state.ListingRequired = true;
     state.NextRead = now + Settings.OperatorsPeriod;
     return;
@@ -286,12 +302,12 @@
     Actions.emplace_back(
         SourceChanged{read.Section, false, std::string(status.message())});
   ++state.Failures;
-  state.ServiceUnavailable = status.code() == absl::StatusCode::kUnavailable;
   // The first-ranked daemon of a domain polls the service on behalf of the
-  // others.
+  // others, and its first failed section on behalf of its others.
   bool first = RankInDomain == 0;
   Duration most = first ? Settings.MaxBackoff : Settings.MaxBackoffOfLaterRanks;
-  Duration wait = first ? Settings.MinBackoff : most;
+  Duration wait =
+      first && isFirstFailed(read.Section) ? Settings.MinBackoff : most;
   for (uint32_t i = 1; i < state.Failures && wait < most; ++i)
     wait *= 2;
   wait = std::min(wait, most);
@@ -424,7 +440,7 @@
   TimePoint next = NextDigest;
   for (PublishedSection section : AllSections) {
     const SectionState &state = at(section);
-    if (state.Reading || isLeftToOtherSection(section))
+    if (state.Reading)
       continue;
     bool unknown = Store.completeRevision(section) == Revision{};
     if (unknown || state.TakenOver || state.ListingRequired)
--- a/Balsamrack/Published/StateExchange.h
+++ b/Balsamrack/Published/StateExchange.h
@@ -197,15 +197,13 @@
     uint32_t VerifierRank = 0; ///< See SectionDigest.
     bool Reading = false;      ///< A read is in progress.
     bool ListingRequired =
-        false; ///< The service has dropped the history that a watch needs.
-    bool TakenOver = false; ///< Reads although it is not a regular reader,
-                            ///< until a daemon of lower rank does.
-    bool ServiceUnavailable =
-        false; ///< The last read failed since the service was unavailable.
-    uint32_t SharesRead = 0;          ///< Shares that were listed at the start.
-    size_t ObjectsOfShares = 0;       ///< Number of objects in these.
-    bool SharesDone = false;          ///< No more shares are listed.
-    bool UsesShares = false;          ///< New flows are placed by these shares.
+        false; ///< A watch cannot succeed; see isListingNeededAfter().
+    bool TakenOver = false;     ///< Reads although it is not a regular reader,
+                                ///< until a daemon of lower rank does.
+    uint32_t SharesRead = 0;    ///< Shares that were listed at the start.
+    size_t ObjectsOfShares = 0; ///< Number of objects in these.
+    bool SharesDone = false;    ///< No more shares are listed.
+    bool UsesShares = false;    ///< New flows are placed by these shares.
     bool FirstWatchPostponed = false; ///< See postponeFirstWatch().
     bool IsCopying = false;   ///< Copies the section from a peer that has it.
     TimePoint PeerListsUntil; ///< Until then a peer that announced a listing of
@@ -230,7 +228,6 @@
   void setVerified(PublishedSection section, TimePoint at, uint64_t prover,
                    uint32_t rank);
   bool yieldsTo(const SectionDigest &theirs) const;
-  bool isLeftToOtherSection(PublishedSection section) const;
   bool shouldRead(TimePoint now, PublishedSection section) const;
   Duration readPeriodOf(PublishedSection section) const;
   bool hasTakenOver() const {
@@ -247,6 +244,8 @@
   void startCopying(TimePoint now, const std::vector<SectionDigest> &theirs);
   bool hasDomainPeers() const;
   void startReadIfDue(TimePoint now, PublishedSection section);
+  bool isFirstFailed(PublishedSection section) const;
+  void retryFailedReads(TimePoint now);
   void onReadFailed(TimePoint now, const PublishedRead &read,
                     const absl::Status &status);
   std::vector<SectionDigest> digests(TimePoint now) const;
--- a/FailureTests/PacketFleetTest.cpp
+++ b/FailureTests/PacketFleetTest.cpp
@@ -204,6 +204,29 @@
     EXPECT_EQ(call(), CallResult::Kind::Reset);
 }
 
+// Another writer leaves ten entries of a megabyte at once. Guards against
+// daemons that read neither routes nor servers any more, since each watch of
+// the servers fails.
+TEST_F(PacketFleetTest, LargeForeignEntriesDelayNoChange) {
+  for (int i = 0; i < 10; ++i)
+    Store->put(absl::StrCat("servers/foreign-", i), std::string(1 << 20, 'x'));
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  publishRoutes(2, {443, 444});
+  publishServer(1, "draining");
+  ASSERT_TRUE(awaitUntil(Second * 3, [&] {
+    for (size_t i = 0; i < DaemonCount; ++i)
+      if (readLog(i).find("\"configuration\":2,\"routes\"") ==
+              std::string::npos ||
+          readLog(i).find("\"state\":\"draining\"") == std::string::npos)
+        return false;
+    return true;
+  }));
+  uint64_t before = Servers[0]->openings();
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(call(), CallResult::Kind::Answered) << i;
+  EXPECT_EQ(Servers[0]->openings(), before);
+}
+
 // A daemon is stopped. The fabric still sends packets to it for a second, and
 // all calls must be answered. Then the process must exit within its limit.
 TEST_F(PacketFleetTest, AStoppedDaemonServesUntilTheFabricHasLeft) {
--- a/UnitTests/Published/StateExchangeTest.cpp
+++ b/UnitTests/Published/StateExchangeTest.cpp
@@ -1,3 +1,6 @@
+#include <array>
+#include <optional>
+
 #include <gtest/gtest.h>
 
 #include "UnitTests/Published/ExchangeSimulation.h"
@@ -321,6 +324,101 @@
                   PublishedSection::Servers));
 }
 
+/// An exchange without peers, whose reads the test answers.
+class ReadsOfOneDaemon {
+public:
+  ReadsOfOneDaemon() {
+    for (PublishedSection section : AllSections)
+      complete(section);
+  }
+  /// Returns the read of \p section that is in progress, if any.
+  std::optional<PublishedRead> started(PublishedSection section) {
+    for (const StateExchangeAction &it : Exchange.tick(Now))
+      if (const auto *start = std::get_if<StartRead>(&it))
+        InProgress[static_cast<size_t>(start->Read.Section)] = start->Read;
+    return InProgress[static_cast<size_t>(section)];
+  }
+  void finish(PublishedSection section,
+              const absl::StatusOr<PublishedChanges> &result) {
+    auto &read = InProgress[static_cast<size_t>(section)];
+    auto actions =
+        Exchange.handleReadResult(Now, *std::exchange(read, {}), result);
+    for (const StateExchangeAction &it : actions)
+      if (const auto *start = std::get_if<StartRead>(&it))
+        InProgress[static_cast<size_t>(start->Read.Section)] = start->Read;
+  }
+
+  TimePoint Now{Second};
+  SeededRandom Random{1};
+  StateExchange Exchange{
+      {}, {VmId("vm-1"), DomainId("a"), {"10.0.0.1", 7946}, false}, Random};
+
+private:
+  void complete(PublishedSection section) {
+    while (Exchange.store().completeRevision(section) == Revision{}) {
+      Now += Second;
+      if (started(section))
+        finish(section, PublishedChanges{section, {}, {7}, {}});
+    }
+  }
+  std::array<std::optional<PublishedRead>, PublishedSections> InProgress;
+};
+
+class EachFailedSection : public testing::TestWithParam<PublishedSection> {};
+
+// The reads of one section fail again and again, each after a second. Guards
+// against leaving the other section unread meanwhile.
+TEST_P(EachFailedSection, KeepsNoOtherFromBeingRead) {
+  const PublishedSection failed = GetParam();
+  const PublishedSection other = failed == PublishedSection::Servers
+                                     ? PublishedSection::Operators
+                                     : PublishedSection::Servers;
+  ReadsOfOneDaemon daemon;
+  uint64_t revision = 7;
+  for (int i = 0; i < 20; ++i) {
+    daemon.Now += Second;
+    if (daemon.started(failed))
+      daemon.finish(failed, absl::UnavailableError("status 503"));
+    auto read = daemon.started(other);
+    ASSERT_TRUE(read) << "after " << i << " s";
+    daemon.finish(other,
+                  PublishedChanges{other, read->After, {++revision}, {}});
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sections, EachFailedSection,
+                         testing::ValuesIn(AllSections), [](const auto &info) {
+                           return std::string(sectionName(info.param));
+                         });
+
+class EachUselessWatch : public testing::TestWithParam<absl::StatusCode> {};
+
+// The service answers a watch with what this daemon cannot use. Guards against
+// repeating the same watch, which gets the same answer.
+TEST_P(EachUselessWatch, IsReplacedByAListing) {
+  for (PublishedSection section : AllSections) {
+    ReadsOfOneDaemon daemon;
+    do
+      daemon.Now += Second;
+    while (!daemon.started(section));
+    ASSERT_NE(daemon.started(section)->After, Revision{});
+    daemon.finish(section, absl::Status(GetParam(), ""));
+    daemon.Now += Second / 20;
+    auto read = daemon.started(section);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->After, Revision{});
+    EXPECT_FALSE(read->AllowStale);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Codes, EachUselessWatch,
+                         testing::Values(absl::StatusCode::kOutOfRange,
+                                         absl::StatusCode::kResourceExhausted,
+                                         absl::StatusCode::kInvalidArgument),
+                         [](const auto &info) {
+                           return absl::StatusCodeToString(info.param);
+                         });
+
 // The pages of a listing arrive over three seconds. Guards against taking its
 // end for the time at which the first page was the newest.
 TEST(StateExchangeTest, AListingIsVerifiedAsOfItsStart) {
--- a/UnitTests/UsersPlatform/StoreReaderTest.cpp
+++ b/UnitTests/UsersPlatform/StoreReaderTest.cpp
@@ -77,6 +77,23 @@
   std::unique_ptr<StoreReader> Reader;
 };
 
+// Another writer leaves large entries at once. Guards against a watch whose
+// answer takes all memory, or fails as if the store were unavailable; a listing
+// passes over them.
+TEST_F(StoreReaderTest, AWatchWithATooLargeAnswerIsReported) {
+  PublishedRead watch;
+  watch.Section = Servers;
+  watch.After = list(false).UpTo;
+  const std::string foreign(1 << 20, 'x');
+  for (char name : {'1', '2', '3'})
+    Store->put(serverKey(name), foreign);
+  Store->put(serverKey('a'), server("draining"));
+  auto changes = read(watch);
+  EXPECT_EQ(changes.status().code(), absl::StatusCode::kResourceExhausted);
+  EXPECT_EQ(watchFrom(list(false)).size(), 6U);
+  EXPECT_EQ(Reader->unreadable(), 3U);
+}
+
 struct StalePages {
   const char *Name;
   std::vector<bool> IsStale; ///< By page.
